--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"wheelridge/decide"
-	"wheelridge/internal/wire"
+	"starlingvalve/decide"
+	"starlingvalve/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/cmd/starlingvalve/main.go
@@ -0,0 +1,41 @@
+// Command starlingvalve is a load-balancing proxy node.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"starlingvalve/internal/node"
+)
+
+const (
+	memoryPart = 0.6 // of the limit, for Go's heap and stacks; the kernel's buffers and the program have the rest
+	gcPercent  = 400 // the heap is small: fewer collections leave the one core to requests
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "starlingvalve:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	c, err := node.LoadConfig(os.Getenv)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	return node.Run(ctx, c, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+}
--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"wheelridge/decide"
+	"starlingvalve/decide"
 )
 
 // rig feeds one module with a fleet of servers whose delays the test sets.
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"wheelridge/decide"
+	"starlingvalve/decide"
 )
 
 // A node asks the module where a request goes, with no wire in between.
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"wheelridge/decide"
+	"starlingvalve/decide"
 )
 
 const testRate = 60 // arrivals a second
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -9,7 +9,7 @@
 	"sort"
 	"time"
 
-	"wheelridge/decide"
+	"starlingvalve/decide"
 )
 
 type sentAttempt struct {
--- /dev/null
+++ b/internal/node/backend.go
@@ -0,0 +1,419 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/wire"
+)
+
+const (
+	bodyLimit  = 64 << 10 // bytes of a body, either way
+	sweepEvery = time.Second
+	idlePart   = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
+	probeWait  = 500 * time.Millisecond
+)
+
+// backends holds the connections to all backends. Each carries one request at a time; the most recently used
+// goes first. It does not use http.Transport, which sends some requests again by itself.
+type backends struct {
+	mu             sync.Mutex
+	hosts          map[decide.ServerID]*host
+	open, limit    int // connections, also those being made
+	connectTimeout time.Duration
+	idleLimit      time.Duration
+	log            *slog.Logger
+}
+
+// host is one backend. The fields are under the lock of backends.
+type host struct {
+	addr    string
+	started decide.Time
+	closed  bool    // it drains or is gone: nothing new is written to it
+	idle    []*conn // the least recently used first
+	heard   time.Time
+}
+
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	since time.Time // made, or idle since
+	fresh bool      // no request has been on it
+}
+
+func newBackends(c *Config, limit int, log *slog.Logger) *backends {
+	idle := time.Duration(float64(c.Settings.ConnIdle) * idlePart)
+	if idle <= 0 {
+		idle = time.Minute
+	}
+	return &backends{hosts: map[decide.ServerID]*host{}, limit: limit, log: log,
+		connectTimeout: c.Settings.ConnectTimeout, idleLimit: idle}
+}
+
+// update follows the list. Connections of an address or a process that is no more are closed: a request on one
+// of them would be a reset.
+func (b *backends) update(l list) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.full {
+		named := map[decide.ServerID]bool{}
+		for _, e := range l.entries {
+			named[e.ID] = true
+		}
+		for id, h := range b.hosts {
+			if !named[id] {
+				b.retire(h)
+				delete(b.hosts, id)
+			}
+		}
+	}
+	for _, e := range l.entries {
+		h := b.hosts[e.ID]
+		if h != nil && (e.State != decide.Ready || h.addr != e.addr || e.StartedAt > h.started) {
+			b.retire(h)
+			delete(b.hosts, e.ID) // attempts that connect to it still hold h, and find it closed
+			h = nil
+		}
+		if h == nil && e.State == decide.Ready {
+			b.hosts[e.ID] = &host{addr: e.addr, started: e.StartedAt}
+		}
+	}
+}
+
+func (b *backends) retire(h *host) {
+	h.closed = true
+	b.closeAll(h)
+}
+
+func (b *backends) closeAll(h *host) {
+	for _, c := range h.idle {
+		b.drop(c)
+	}
+	h.idle = nil
+}
+
+func (b *backends) drop(c *conn) {
+	c.Close()
+	b.open--
+}
+
+func (b *backends) find(id decide.ServerID) *host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hosts[id]
+}
+
+func (b *backends) closeIdle(id decide.ServerID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h := b.hosts[id]; h != nil {
+		b.closeAll(h)
+	}
+}
+
+// run retires idle connections until ctx ends, and then closes them all.
+func (b *backends) run(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			for _, h := range b.hosts {
+				b.retire(h)
+			}
+			return
+		case <-tick.C:
+			b.sweep()
+		}
+	}
+}
+
+func (b *backends) sweep() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range b.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if b.usable(c) {
+				kept = append(kept, c)
+			} else {
+				b.drop(c)
+			}
+		}
+		clear(h.idle[len(kept):])
+		h.idle = kept
+	}
+}
+
+// usable tells whether an idle connection may take a request: young enough, not closed by the other side, and
+// with nothing on it that belongs to no request. A write to one that the backend has closed would succeed, and
+// then leave open whether the request ran.
+func (b *backends) usable(c *conn) bool {
+	if time.Since(c.since) >= b.idleLimit || c.r.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, err := syscall.Read(int(fd), one[:])
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+var (
+	errTooMany = errors.New("too many connections")
+	errClosed  = errors.New("the backend drains or is gone")
+)
+
+// connect takes an idle connection or makes one.
+func (b *backends) connect(ctx context.Context, h *host, deadline time.Time) (*conn, error) {
+	b.mu.Lock()
+	if h.closed {
+		b.mu.Unlock()
+		return nil, errClosed
+	}
+	for n := len(h.idle); n > 0; n = len(h.idle) {
+		c := h.idle[n-1]
+		h.idle[n-1], h.idle = nil, h.idle[:n-1]
+		if b.usable(c) {
+			b.mu.Unlock()
+			return c, nil
+		}
+		b.drop(c)
+	}
+	if b.open >= b.limit && !b.evict() {
+		b.mu.Unlock()
+		return nil, errTooMany
+	}
+	b.open++
+	b.mu.Unlock()
+	d := net.Dialer{Timeout: b.connectTimeout, Deadline: deadline}
+	tcp, err := d.DialContext(ctx, "tcp", h.addr)
+	if err != nil {
+		b.mu.Lock()
+		b.open--
+		b.mu.Unlock()
+		return nil, err
+	}
+	return &conn{Conn: tcp, r: bufio.NewReader(tcp), since: time.Now(), fresh: true}, nil
+}
+
+// evict makes room at the bound by closing the connection that has been idle longest.
+func (b *backends) evict() bool {
+	var oldest *host
+	for _, h := range b.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = h
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	b.drop(oldest.idle[0])
+	oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
+	return true
+}
+
+// release gives a connection back, for the next request or to be closed.
+func (b *backends) release(h *host, c *conn, keep bool) {
+	if keep {
+		keep = c.SetDeadline(time.Time{}) == nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !keep || h.closed {
+		b.drop(c)
+		return
+	}
+	c.since = time.Now()
+	h.idle = append(h.idle, c)
+}
+
+// silent closes a host's idle connections if nothing has come from it since a time: a machine that was cut off
+// and is back resets them, and each of them would cost a request.
+func (b *backends) silent(h *host, since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.heard.Before(since) {
+		b.closeAll(h)
+	}
+}
+
+func (b *backends) closing(h *host) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return h.closed
+}
+
+// exchange is one request to a backend.
+type exchange struct {
+	method   string
+	url      *url.URL
+	header   http.Header
+	body     []byte
+	deadline time.Time // the node waits no longer
+	writeBy  time.Time // if set, nothing is written from then on
+}
+
+// result is how an exchange ended.
+type result struct {
+	code   decide.OutcomeCode
+	report *decide.Report
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// do makes an exchange and blocks until it is over. An end of ctx calls it off.
+func (b *backends) do(ctx context.Context, h *host, x *exchange) result {
+	if h == nil {
+		return result{code: decide.ConnectFailed, err: errClosed}
+	}
+	began := time.Now()
+	c, err := b.connect(ctx, h, x.deadline)
+	if err != nil {
+		if ctx.Err() != nil {
+			return result{code: decide.Cancelled, err: ctx.Err()}
+		}
+		return result{code: decide.ConnectFailed, err: err}
+	}
+	// Connecting takes time: what made this attempt right may no longer hold, and until the last byte is
+	// written it has not run.
+	now := time.Now()
+	switch {
+	case ctx.Err() != nil:
+		b.release(h, c, true)
+		return result{code: decide.Cancelled, err: ctx.Err()}
+	case b.closing(h):
+		b.release(h, c, false)
+		return result{code: decide.ConnectFailed, err: errClosed}
+	case !x.writeBy.IsZero() && !now.Before(x.writeBy):
+		b.release(h, c, true)
+		return result{code: decide.Moot, err: errors.New("the keyed window is over")}
+	case !now.Before(x.deadline):
+		b.release(h, c, true)
+		return result{code: decide.ConnectFailed, err: os.ErrDeadlineExceeded}
+	}
+	c.SetDeadline(x.deadline)
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	r, keep := roundTrip(c, x)
+	stopped := stop()
+	switch {
+	case r.err == nil:
+		b.mu.Lock()
+		h.heard = time.Now()
+		b.mu.Unlock()
+	case r.code == decide.ConnectFailed:
+	case ctx.Err() != nil:
+		r.code = decide.Cancelled
+	case errors.Is(r.err, os.ErrDeadlineExceeded):
+		r.code = decide.TimedOut
+	}
+	b.release(h, c, keep && stopped && r.err == nil)
+	if r.code == decide.TimedOut {
+		b.silent(h, began)
+	}
+	return r
+}
+
+var errTruncated = errors.New("the answer's end can't be known")
+
+// roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
+func roundTrip(c *conn, x *exchange) (r result, keep bool) {
+	left := max(0, time.Until(x.deadline))
+	header := x.header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header["X-Time-Left"] = []string{strconv.FormatFloat(left.Seconds(), 'f', 3, 64)}
+	req := &http.Request{Method: x.method, URL: x.url, Host: x.url.Host, Header: header, ProtoMajor: 1, ProtoMinor: 1}
+	if len(x.body) > 0 || x.method == http.MethodPost {
+		req.ContentLength, req.Body = int64(len(x.body)), io.NopCloser(bytes.NewReader(x.body))
+		if len(x.body) == 0 {
+			req.Body = http.NoBody
+		}
+	}
+	var text bytes.Buffer
+	text.Grow(1<<10 + len(x.body))
+	if err := req.Write(&text); err != nil {
+		return result{code: decide.ConnectFailed, err: err}, false
+	}
+	if _, err := c.Write(text.Bytes()); err != nil {
+		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
+	}
+	c.fresh = false
+	resp, err := http.ReadResponse(c.r, req)
+	for n := 0; err == nil && resp.StatusCode < 200 && n < 5; n++ {
+		resp, err = http.ReadResponse(c.r, req) // that was an interim answer
+	}
+	if err != nil {
+		return result{code: decide.Reset, err: err}, false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bodyLimit+1))
+	switch {
+	case err != nil:
+		return result{code: decide.Reset, err: err}, false
+	case len(body) > bodyLimit:
+		return result{code: decide.Reset, err: errors.New("the answer is too large")}, false
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		// A body that ends with its connection looks whole when the backend has died within it.
+		return result{code: decide.Reset, err: errTruncated}, false
+	}
+	r = result{code: decide.ServerError, report: parseReport(resp.Header.Get("X-Backend-Load")), header: resp.Header, body: body}
+	switch status := resp.StatusCode; {
+	case status == http.StatusOK:
+		r.code = decide.OK
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && resp.Header.Get("X-Unprocessed") == "1":
+		r.code = decide.Full
+	}
+	return r, !resp.Close
+}
+
+// parseReport reads a load report. One with no field that is known and a number is none.
+func parseReport(text string) *decide.Report {
+	var r decide.Report
+	known := false
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(v) && !math.IsInf(v, 0) {
+			known = wire.SetReport(&r, name, v) || known
+		}
+	}
+	if !known {
+		return nil
+	}
+	return &r
+}
+
+// probe asks a backend how it is.
+func (b *backends) probe(ctx context.Context, h *host, path string) result {
+	r := b.do(ctx, h, &exchange{method: http.MethodGet, url: &url.URL{Path: path, Host: "api.internal"}, deadline: time.Now().Add(probeWait)})
+	if r.report == nil && r.code == decide.OK {
+		r.report = parseReport(string(r.body))
+	}
+	return r
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,131 @@
+// Package node is a real node round the decision module: it serves clients,
+// talks to backends, discovery and peers, and leaves every decision to package
+// decide.
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/wire"
+)
+
+// Limits are what the platform lets the node's process use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"` // file descriptors
+}
+
+// Config is all that a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort // clients
+	Discovery netip.AddrPort
+	Seed      int64
+	Limits    Limits
+	PeerListen,
+	PeersAll netip.AddrPort // invalid where nodes don't talk
+	Peers    []netip.AddrPort
+	Known    list // the backends as this node last had them
+	Settings decide.Settings
+}
+
+// The least that a node can run with, and what it takes where it isn't told.
+const (
+	leastSockets  = 64
+	leastMemoryMB = 32
+	usualSockets  = 1024
+	usualMemoryMB = 192
+)
+
+// LoadConfig reads the file that GW_CONFIG names. The other GW_ variables go before what it says.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("GW_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	var in struct {
+		Name       string          `json:"name"`
+		Listen     string          `json:"listen"`
+		Discovery  string          `json:"discovery"`
+		Seed       string          `json:"seed"`
+		Limits     Limits          `json:"limits"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		PeersAll   string          `json:"peers_all"`
+		Known      json.RawMessage `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for variable, field := range map[string]*string{"GW_NAME": &in.Name, "GW_LISTEN": &in.Listen, "GW_DISCOVERY": &in.Discovery} {
+		if v := getenv(variable); v != "" {
+			*field = v
+		}
+	}
+	c := &Config{Name: in.Name, Limits: in.Limits}
+	if c.Name == "" {
+		return nil, fmt.Errorf("%s: name is missing", path)
+	}
+	peers := in.PeerListen != ""
+	for _, a := range []struct {
+		name, text string
+		into       *netip.AddrPort
+		wanted     bool
+	}{{"listen", in.Listen, &c.Listen, true}, {"discovery", in.Discovery, &c.Discovery, true},
+		{"peer_listen", in.PeerListen, &c.PeerListen, peers}, {"peers_all", in.PeersAll, &c.PeersAll, in.PeersAll != ""}} {
+		if !a.wanted {
+			continue
+		}
+		if *a.into, err = netip.ParseAddrPort(a.text); err != nil {
+			return nil, fmt.Errorf("%s: %s: %w", path, a.name, err)
+		}
+	}
+	for i, text := range in.Peers {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s: peers, entry %d: %w", path, i, err)
+		}
+		c.Peers = append(c.Peers, a)
+	}
+	seed, err := strconv.ParseUint(in.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: seed: %w", path, err)
+	}
+	c.Seed = int64(seed)
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = usualSockets
+	}
+	if c.Limits.MemoryMB == 0 {
+		c.Limits.MemoryMB = usualMemoryMB
+	}
+	if c.Limits.Sockets < leastSockets || c.Limits.MemoryMB < leastMemoryMB || c.Limits.Cores < 0 {
+		return nil, fmt.Errorf("%s: limits: want %d sockets and %d MB of memory at least, have %+v", path, leastSockets, leastMemoryMB, c.Limits)
+	}
+	if in.Known != nil {
+		if c.Known, err = decodeList(in.Known); err != nil {
+			return nil, fmt.Errorf("%s: known: %w", path, err)
+		}
+	}
+	if in.Settings == nil {
+		return nil, fmt.Errorf("%s: settings are missing", path)
+	}
+	if c.Settings, err = wire.DecodeSettings(in.Settings); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	if len(c.Settings.Classes) == 0 || c.Settings.ConnectTimeout <= 0 {
+		return nil, fmt.Errorf("%s: settings: want classes and caps.connect_timeout_ns", path)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+const (
+	listLimit   = 4 << 20          // bytes of a list, at most
+	watchWait   = 20 * time.Second // for news, in one call of a watch
+	firstWait   = time.Millisecond // the same in the call that begins one: the module waits for its answer
+	callSlack   = 3 * time.Second  // a call may wait its turn so long beyond that
+	agentPause  = 50 * time.Millisecond
+	retryFirst  = 200 * time.Millisecond
+	retryLast   = 5 * time.Second
+	registryURL = "/registry/instances"
+)
+
+// list is what discovery tells: all backends, or those that changed.
+type list struct {
+	version uint64
+	full    bool
+	entries []entry
+}
+
+type entry struct {
+	decide.Server
+	addr string
+}
+
+var states = map[string]decide.ServerState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+
+// decodeList takes a list only if all of it makes sense.
+func decodeList(raw []byte) (list, error) {
+	var in struct {
+		Version *uint64 `json:"version"`
+		Full    bool    `json:"full"`
+		Servers []struct {
+			ID      string  `json:"id"`
+			Addr    string  `json:"addr"`
+			Zone    string  `json:"zone"`
+			Kind    string  `json:"kind"`
+			Cell    int     `json:"cell"`
+			State   string  `json:"state"`
+			Weight  float64 `json:"weight"`
+			Started int64   `json:"started_ms"`
+		} `json:"servers"`
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return list{}, fmt.Errorf("list: %w", err)
+	}
+	if in.Version == nil {
+		return list{}, errors.New("list: version is missing")
+	}
+	l := list{version: *in.Version, full: in.Full}
+	for i, s := range in.Servers {
+		state, ok := states[s.State]
+		if !ok || s.ID == "" {
+			return list{}, fmt.Errorf("list, entry %d: id %q, unknown state %q", i, s.ID, s.State)
+		}
+		if _, err := netip.ParseAddrPort(s.Addr); err != nil && state != decide.Gone {
+			return list{}, fmt.Errorf("list, entry %d: %w", i, err)
+		}
+		l.entries = append(l.entries, entry{addr: s.Addr, Server: decide.Server{ID: serverID(s.ID), Zone: s.Zone, Kind: s.Kind,
+			Cell: s.Cell, State: state, Size: s.Weight, StartedAt: time.Duration(max(0, s.Started)) * time.Millisecond}})
+	}
+	return l, nil
+}
+
+// serverID makes the module's number of a name, the same at every node: the module's order of servers hangs on
+// it. Names that end in eight hex digits hold it; of others it is a hash.
+func serverID(name string) decide.ServerID {
+	if _, digits, ok := strings.Cut(name, "-"); ok && len(digits) == 8 {
+		if v, err := strconv.ParseUint(digits, 16, 32); err == nil {
+			return decide.ServerID(v)
+		}
+	}
+	h := fnv.New32a()
+	io.WriteString(h, name)
+	return decide.ServerID(h.Sum32())
+}
+
+// discovery asks for the list of backends. Its calls go out on connections of its own.
+type discovery struct {
+	base   string
+	client *http.Client
+	log    *slog.Logger
+}
+
+func newDiscovery(c *Config, log *slog.Logger) *discovery {
+	return &discovery{base: "http://" + c.Discovery.String() + registryURL, log: log, client: &http.Client{
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callSlack}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
+}
+
+func (d *discovery) call(ctx context.Context, query string, limit time.Duration) (list, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+query, nil)
+	if err != nil {
+		return list{}, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return list{}, err
+	}
+	defer resp.Body.Close()
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(io.LimitReader(resp.Body, listLimit)); err != nil {
+		return list{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return list{}, fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	return decodeList(body.Bytes())
+}
+
+// fetch asks for the whole list once.
+func (d *discovery) fetch(ctx context.Context) (list, error) { return d.call(ctx, "", callSlack) }
+
+// watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
+// fails.
+func (d *discovery) watch(ctx context.Context, since uint64, news func(list)) error {
+	wait := firstWait
+	for first := true; ; first = false {
+		asked := time.Now()
+		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+callSlack)
+		if err != nil {
+			return err
+		}
+		if first || l.full || len(l.entries) > 0 || l.version != since {
+			news(l)
+		}
+		// An agent may answer at once, always: that must not become a busy loop. A watch goes on over 200 ms.
+		if !first && l.version == since && time.Since(asked) < agentPause {
+			select {
+			case <-ctx.Done():
+			case <-time.After(agentPause):
+			}
+		}
+		since, wait = l.version, watchWait
+	}
+}
+
+// follow keeps a watch where lists are pushed and so nobody asks for one.
+func (d *discovery) follow(ctx context.Context, since uint64, news func(list)) {
+	retry := retryFirst
+	for ctx.Err() == nil {
+		err := d.watch(ctx, since, func(l list) { since, retry = l.version, retryFirst; news(l) })
+		d.log.Debug("watch ended", "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(float64(retry) * (0.5 + rand.Float64()))):
+		}
+		retry = min(2*retry, retryLast)
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// Of the descriptors, a few are the process's own; clients' connections get this part of the rest, and
+	// backends what remains. From the soft limit on, clients are refused; to the hard one they are let in to be.
+	ownSockets = 24
+	clientPart = 0.6
+	softPart   = 0.85
+
+	drainAccept = 600 * time.Millisecond // connections come for 0.4 s after SIGTERM; the rest is for the accept queue
+	drainExtra  = 300 * time.Millisecond // beyond the longest deadline, to write the last answers
+)
+
+// Run serves until ctx ends and what has been taken by then is answered.
+func Run(ctx context.Context, c *Config, log *slog.Logger) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	room := c.Limits.Sockets - ownSockets
+	clients := int(float64(room) * clientPart)
+
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Listen))
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	p, err := listenPeers(c, log)
+	if err != nil {
+		tcp.Close()
+		return err
+	}
+	b := newBackends(c, room-clients, log)
+	l := newLoop(inner, c, b, newDiscovery(c, log), p, log)
+	f := newFrontend(l, int(float64(clients)*softPart), log)
+	srv := f.server()
+
+	var running sync.WaitGroup
+	running.Go(func() { l.run(c.Known) })
+	running.Go(func() { b.run(inner) })
+	if p != nil {
+		running.Go(func() { p.write(inner) })
+		running.Go(func() { p.read(l.heard) })
+	}
+	served := make(chan error, 1)
+	running.Go(func() {
+		served <- srv.Serve(&capped{TCPListener: tcp, slots: make(chan struct{}, clients), ctx: inner})
+	})
+	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
+
+	select {
+	case err = <-served:
+		err = fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+		f.drain(srv)
+	}
+	stop()
+	srv.Close()
+	running.Wait()
+	return err
+}
+
+// drain lets the node go. Clients still come for a moment, and what the kernel has accepted counts as taken: so
+// the listener stays open for that long, and each answer closes its connection.
+func (f *frontend) drain(srv *http.Server) {
+	f.draining.Store(true)
+	f.log.Info("draining")
+	time.Sleep(drainAccept)
+	longest := drainExtra
+	for _, c := range f.classes {
+		longest = max(longest, c.Deadline+drainExtra)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), longest)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		f.log.Warn("drained with requests held", "err", err)
+	}
+	f.log.Info("drained")
+}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strconv"
 
-	"wheelridge/decide"
+	"starlingvalve/decide"
 )
 
 // Reply holds the actions of one instance.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"wheelridge/decide"
+	"starlingvalve/decide"
 )
 
 // The codes by which the wire names outcomes.
@@ -241,23 +241,7 @@
 		if err != nil {
 			continue
 		}
-		switch name {
-		case "active":
-			r.InFlight, r.HasInFlight = v, true
-		case "waiting":
-			r.Queue, r.HasQueue = v, true
-		case "cpu":
-			r.Utilisation = v
-		case "avg_ms":
-			r.ServiceTime = time.Duration(v * float64(time.Millisecond))
-		case "rps":
-			r.Rate = v
-		case "err_rps":
-			r.ErrorRate = v
-		default:
-			continue
-		}
-		known = true
+		known = SetReport(&r, name, v) || known
 	}
 	if !known {
 		return nil
@@ -265,6 +249,28 @@
 	return &r
 }
 
+// SetReport puts one value of a load report in its place, by its name here or on sockets. It tells whether
+// it knows the name.
+func SetReport(r *decide.Report, name string, v float64) bool {
+	switch name {
+	case "active", "inflight":
+		r.InFlight, r.HasInFlight = v, true
+	case "waiting", "queue":
+		r.Queue, r.HasQueue = v, true
+	case "cpu", "util":
+		r.Utilisation = v
+	case "avg_ms", "latency_ms":
+		r.ServiceTime = time.Duration(v * float64(time.Millisecond))
+	case "rps", "qps":
+		r.Rate = v
+	case "err_rps", "eps":
+		r.ErrorRate = v
+	default:
+		return false
+	}
+	return true
+}
+
 var listKinds = map[string]decide.ListKind{
 	"D": decide.ListChanges, "F": decide.ListFull, "C": decide.ListCached, "X": decide.ListFailed,
 }
@@ -311,93 +317,8 @@
 
 func decodeStart(raw json.RawMessage) (Happening, error) {
 	var e struct {
-		Seed    *json.Number `json:"seed"`
-		Profile *struct {
-			Accounts []struct {
-				Name     string  `json:"name"`
-				Quota    float64 `json:"quota_per_s"`
-				Fraction float64 `json:"fraction"`
-			} `json:"accounts"`
-			Balancers int `json:"balancers"`
-			Caps      struct {
-				Cancel         bool    `json:"cancel"`
-				ConnIdle       int64   `json:"conn_idle_ns"`
-				ConnectTimeout int64   `json:"connect_timeout_ns"`
-				CPUPerRequest  float64 `json:"cpu_us_per_request"`
-				CPUPerSecond   float64 `json:"cpu_us_per_s"`
-				MaxAttempts    int     `json:"max_attempts"`
-				MaxRetryAfter  int64   `json:"max_retry_after_ns"`
-				MayDuplicate   bool    `json:"may_duplicate"`
-				MostHeld       int     `json:"most_held"`
-				Multiplex      int     `json:"multiplex"`
-				Peers          bool    `json:"peers"`
-				Probes         bool    `json:"probes"`
-				RetryAfter     bool    `json:"retry_after"`
-			} `json:"caps"`
-			Charges struct {
-				Connection float64 `json:"connection"`
-				CrossZone  float64 `json:"cross_zone"`
-				Fleet      float64 `json:"fleet"`
-				Handshake  float64 `json:"handshake"`
-				LateFail   float64 `json:"late_fail"`
-				Lines      float64 `json:"membership_mode"`
-				Moves      float64 `json:"moves"`
-				Origin     float64 `json:"origin"`
-				Peer       float64 `json:"peer"`
-				Probe      float64 `json:"probe"`
-				Waste      float64 `json:"waste"`
-			} `json:"charges"`
-			Classes []struct {
-				AimStretch float64 `json:"aim_stretch"`
-				Aim        int64   `json:"aim_ns"`
-				Dedup      int64   `json:"dedup_window_ns"`
-				Effect     string  `json:"effect"`
-				GiveUp     int64   `json:"give_up_ns"`
-				Importance float64 `json:"importance"`
-				KeyScope   string  `json:"key_scope"`
-				LateWorth  float64 `json:"late_worth"`
-				Name       string  `json:"name"`
-				Streamed   bool    `json:"streamed"`
-			} `json:"classes"`
-			Habits struct {
-				MarksRetry bool `json:"marks_retry"`
-			} `json:"client_habits"`
-			Domains []string `json:"failure_domains"`
-			Family  string   `json:"family"`
-			Goal    struct {
-				Whole       float64 `json:"whole"`
-				WorstClass  float64 `json:"worst_class"`
-				WorstTenant float64 `json:"worst_tenant"`
-				WorstWindow float64 `json:"worst_window"`
-			} `json:"goal"`
-			Kinds      []string `json:"kinds"`
-			Membership string   `json:"membership_mode"`
-			OverShare  float64  `json:"over_share_worth"`
-			Report     struct {
-				Fields []string `json:"fields"`
-				How    string   `json:"how"`
-			} `json:"report"`
-			Slot      int `json:"slot_no"`
-			Specifics struct {
-				PassesDeadline bool `json:"passes_deadline"`
-				WarmKeys       bool `json:"warm_keys"`
-			} `json:"specifics"`
-			Invariants struct {
-				AnswerSlack    int64   `json:"answer_slack_ns"`
-				AskWithin      int64   `json:"ask_within_ns"`
-				ColdFrom       float64 `json:"cold_from"`
-				Cold           int64   `json:"cold_ns"`
-				DrainGrace     int64   `json:"drain_grace_ns"`
-				OverloadFactor float64 `json:"overload_factor"`
-				TipAfter       int64   `json:"tip_after_ns"`
-			} `json:"invariants"`
-			Tick       int64    `json:"tick_ns"`
-			Tier       int      `json:"tier"`
-			Tiers      []string `json:"tiers"`
-			WeightKind string   `json:"weight_kind"`
-			WorthBy    string   `json:"worth_by"`
-			Zone       string   `json:"zone"`
-		} `json:"profile_data"`
+		Seed    *json.Number    `json:"seed"`
+		Profile json.RawMessage `json:"profile_data"`
 	}
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return Happening{}, err
@@ -416,7 +337,107 @@
 		}
 		seed = math.Float64bits(f)
 	}
-	p := e.Profile
+	s, err := DecodeSettings(e.Profile)
+	if err != nil {
+		return Happening{}, err
+	}
+	return Happening{Start: &Start{Settings: s, Seed: int64(seed)}}, nil
+}
+
+// DecodeSettings reads the settings object, which a real node finds in its configuration.
+func DecodeSettings(raw json.RawMessage) (decide.Settings, error) {
+	var p *struct {
+		Accounts []struct {
+			Name     string  `json:"name"`
+			Quota    float64 `json:"quota_per_s"`
+			Fraction float64 `json:"fraction"`
+		} `json:"accounts"`
+		Balancers int `json:"balancers"`
+		Caps      struct {
+			Cancel         bool    `json:"cancel"`
+			ConnIdle       int64   `json:"conn_idle_ns"`
+			ConnectTimeout int64   `json:"connect_timeout_ns"`
+			CPUPerRequest  float64 `json:"cpu_us_per_request"`
+			CPUPerSecond   float64 `json:"cpu_us_per_s"`
+			MaxAttempts    int     `json:"max_attempts"`
+			MaxRetryAfter  int64   `json:"max_retry_after_ns"`
+			MayDuplicate   bool    `json:"may_duplicate"`
+			MostHeld       int     `json:"most_held"`
+			Multiplex      int     `json:"multiplex"`
+			Peers          bool    `json:"peers"`
+			Probes         bool    `json:"probes"`
+			RetryAfter     bool    `json:"retry_after"`
+		} `json:"caps"`
+		Charges struct {
+			Connection float64 `json:"connection"`
+			CrossZone  float64 `json:"cross_zone"`
+			Fleet      float64 `json:"fleet"`
+			Handshake  float64 `json:"handshake"`
+			LateFail   float64 `json:"late_fail"`
+			Lines      float64 `json:"membership_mode"`
+			Moves      float64 `json:"moves"`
+			Origin     float64 `json:"origin"`
+			Peer       float64 `json:"peer"`
+			Probe      float64 `json:"probe"`
+			Waste      float64 `json:"waste"`
+		} `json:"charges"`
+		Classes []struct {
+			AimStretch float64 `json:"aim_stretch"`
+			Aim        int64   `json:"aim_ns"`
+			Dedup      int64   `json:"dedup_window_ns"`
+			Effect     string  `json:"effect"`
+			GiveUp     int64   `json:"give_up_ns"`
+			Importance float64 `json:"importance"`
+			KeyScope   string  `json:"key_scope"`
+			LateWorth  float64 `json:"late_worth"`
+			Name       string  `json:"name"`
+			Streamed   bool    `json:"streamed"`
+		} `json:"classes"`
+		Habits struct {
+			MarksRetry bool `json:"marks_retry"`
+		} `json:"client_habits"`
+		Domains []string `json:"failure_domains"`
+		Family  string   `json:"family"`
+		Goal    struct {
+			Whole       float64 `json:"whole"`
+			WorstClass  float64 `json:"worst_class"`
+			WorstTenant float64 `json:"worst_tenant"`
+			WorstWindow float64 `json:"worst_window"`
+		} `json:"goal"`
+		Kinds      []string `json:"kinds"`
+		Membership string   `json:"membership_mode"`
+		OverShare  float64  `json:"over_share_worth"`
+		Report     struct {
+			Fields []string `json:"fields"`
+			How    string   `json:"how"`
+		} `json:"report"`
+		Slot      int `json:"slot_no"`
+		Specifics struct {
+			PassesDeadline bool `json:"passes_deadline"`
+			WarmKeys       bool `json:"warm_keys"`
+		} `json:"specifics"`
+		Invariants struct {
+			AnswerSlack    int64   `json:"answer_slack_ns"`
+			AskWithin      int64   `json:"ask_within_ns"`
+			ColdFrom       float64 `json:"cold_from"`
+			Cold           int64   `json:"cold_ns"`
+			DrainGrace     int64   `json:"drain_grace_ns"`
+			OverloadFactor float64 `json:"overload_factor"`
+			TipAfter       int64   `json:"tip_after_ns"`
+		} `json:"invariants"`
+		Tick       int64    `json:"tick_ns"`
+		Tier       int      `json:"tier"`
+		Tiers      []string `json:"tiers"`
+		WeightKind string   `json:"weight_kind"`
+		WorthBy    string   `json:"worth_by"`
+		Zone       string   `json:"zone"`
+	}
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return decide.Settings{}, err
+	}
+	if p == nil {
+		return decide.Settings{}, missing("profile_data")
+	}
 	s := decide.Settings{Nodes: p.Balancers, Self: p.Slot, Zone: p.Zone, Zones: p.Domains, Kinds: p.Kinds,
 		MaxAttempts: p.Caps.MaxAttempts, MayOverlap: p.Caps.MayDuplicate, MayCancel: p.Caps.Cancel,
 		MayProbe: p.Caps.Probes, MayMessage: p.Caps.Peers, HoldOffs: p.Caps.RetryAfter,
@@ -442,11 +463,11 @@
 	for _, c := range p.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return Happening{}, fmt.Errorf("class %s: unknown effect %q", c.Name, c.Effect)
+			return decide.Settings{}, fmt.Errorf("class %s: unknown effect %q", c.Name, c.Effect)
 		}
 		scope, ok := scopes[c.KeyScope]
 		if !ok && effect == decide.Keyed {
-			return Happening{}, fmt.Errorf("class %s: unknown key_scope %q", c.Name, c.KeyScope)
+			return decide.Settings{}, fmt.Errorf("class %s: unknown key_scope %q", c.Name, c.KeyScope)
 		}
 		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Worth: c.Importance, Aim: time.Duration(c.Aim),
 			AimStretch: c.AimStretch, Deadline: time.Duration(c.GiveUp), LateWorth: c.LateWorth, Effect: effect,
@@ -455,5 +476,5 @@
 	for _, t := range p.Accounts {
 		s.Tenants = append(s.Tenants, decide.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Fraction})
 	}
-	return Happening{Start: &Start{Settings: s, Seed: int64(seed)}}, nil
+	return s, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"wheelridge/decide"
+	"starlingvalve/decide"
 )
 
 const start = `{"up":{"seed":9007199254740993,"profile_data":{"accounts":[{"name":"a","quota_per_s":5,"fraction":0.5}],
