--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -23,10 +23,11 @@
 )
 
 const (
-	bodyLimit  = 64 << 10 // bytes of a body, either way
-	sweepEvery = time.Second
-	idlePart   = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
-	probeWait  = 500 * time.Millisecond
+	bodyLimit   = 64 << 10      // bytes of a body, either way
+	answerLimit = 4 * bodyLimit // with its header and framing
+	sweepEvery  = time.Second
+	idlePart    = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
+	probeWait   = 500 * time.Millisecond
 )
 
 // backends holds the connections to all backends. Each carries one request at a time; the most recently used
@@ -52,8 +53,8 @@
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
-	since time.Time // made, or idle since
-	fresh bool      // no request has been on it
+	left  *io.LimitedReader // under r: what may still come on one answer
+	since time.Time         // made, or idle since
 }
 
 func newBackends(c *Config, limit int, log *slog.Logger) *backends {
@@ -218,7 +219,8 @@
 		b.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: tcp, r: bufio.NewReader(tcp), since: time.Now(), fresh: true}, nil
+	left := &io.LimitedReader{R: tcp}
+	return &conn{Conn: tcp, r: bufio.NewReader(left), left: left, since: time.Now()}, nil
 }
 
 // evict makes room at the bound by closing the connection that has been idle longest.
@@ -364,7 +366,7 @@
 	if _, err := c.Write(text.Bytes()); err != nil {
 		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
 	}
-	c.fresh = false
+	c.left.N = answerLimit // http.ReadResponse itself takes a header of any size
 	resp, err := http.ReadResponse(c.r, req)
 	for n := 0; err == nil && resp.StatusCode < 200 && n < 5; n++ {
 		resp, err = http.ReadResponse(c.r, req) // that was an interim answer
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -25,9 +25,11 @@
 	watchWait   = 20 * time.Second // for news, in one call of a watch
 	firstWait   = time.Millisecond // the same in the call that begins one: the module waits for its answer
 	callSlack   = 3 * time.Second  // a call may wait its turn so long beyond that
+	watchSlack  = time.Second      // a watch that is on has its turn: an answer later than this is none
 	agentPause  = 50 * time.Millisecond
 	retryFirst  = 200 * time.Millisecond
 	retryLast   = 5 * time.Second
+	latestStart = 1 << 43 // ms; a later one would not fit the module's clock
 	registryURL = "/registry/instances"
 )
 
@@ -77,7 +79,7 @@
 			return list{}, fmt.Errorf("list, entry %d: %w", i, err)
 		}
 		l.entries = append(l.entries, entry{addr: s.Addr, Server: decide.Server{ID: serverID(s.ID), Zone: s.Zone, Kind: s.Kind,
-			Cell: s.Cell, State: state, Size: s.Weight, StartedAt: time.Duration(max(0, s.Started)) * time.Millisecond}})
+			Cell: s.Cell, State: state, Size: s.Weight, StartedAt: time.Duration(min(max(0, s.Started), latestStart)) * time.Millisecond}})
 	}
 	return l, nil
 }
@@ -135,10 +137,10 @@
 // watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
 // fails.
 func (d *discovery) watch(ctx context.Context, since uint64, news func(list)) error {
-	wait := firstWait
+	wait, slack := firstWait, callSlack
 	for first := true; ; first = false {
 		asked := time.Now()
-		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+callSlack)
+		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+slack)
 		if err != nil {
 			return err
 		}
@@ -152,7 +154,7 @@
 			case <-time.After(agentPause):
 			}
 		}
-		since, wait = l.version, watchWait
+		since, wait, slack = l.version, watchWait, watchSlack
 	}
 }
 
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,9 +20,9 @@
 )
 
 const (
-	headerWait    = 5 * time.Second // for a request's header
-	bodyWait      = 5 * time.Second // for its body
-	writeWait     = 5 * time.Second // for the client to take its answer
+	headerWait    = 10 * time.Second // for a request's header
+	bodyWait      = 10 * time.Second // for its body
+	writeWait     = 5 * time.Second  // for the client to take its answer
 	idleWait      = 2 * time.Minute
 	headerLimit   = 16 << 10
 	patienceLimit = time.Hour
@@ -136,7 +137,10 @@
 			if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 				return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
 			}
-			return nil, http.StatusBadRequest, errors.New("the body does not come")
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return nil, http.StatusRequestTimeout, errors.New("the body does not come")
+			}
+			return nil, http.StatusBadRequest, errors.New("the body is malformed")
 		}
 		control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
 	}
