Hand the tests' listeners over: a port was freed and taken by another test

At fault: start in node_test.go and main_test.go chose a port, closed it and listened anew; with tests side by side another test's silent listener could get it, and http.Get without a deadline waited for ever. That the stack ended in http.Transport fits; the run itself was not caught again.

--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
@@ -45,29 +46,36 @@
 }
 
 func TestStartAndTerminate(t *testing.T) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	discovery, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer discovery.Close()
+	cmd, _ := program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{
+		"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`, discovery.Addr()))
+	cmd.Stderr = nil
+	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := free.Addr().String()
-	free.Close()
-	cmd, log := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","settings":{
-		"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`, listen, listen))
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if resp, err := http.Get("http://" + listen + "/health/live"); err == nil {
-			resp.Body.Close()
-			break
-		}
-		if time.Now().After(end) {
-			cmd.Process.Kill()
-			t.Fatalf("it does not start: %s", log)
-		}
+	guard := time.AfterFunc(time.Minute, func() { cmd.Process.Kill() })
+	defer guard.Stop()
+	lines := bufio.NewScanner(log)
+	lines.Scan()
+	_, rest, _ := strings.Cut(lines.Text(), "listen=")
+	listen, _, _ := strings.Cut(rest, " ")
+	client := http.Client{Timeout: 20 * time.Second}
+	resp, err := client.Get("http://" + listen + "/health/live")
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("after %q: %v, %v", lines.Text(), resp, err)
 	}
 	cmd.Process.Signal(syscall.SIGTERM)
+	for lines.Scan() {
+	}
 	if err := cmd.Wait(); err != nil {
-		t.Errorf("%v: %s", err, log)
+		t.Error(err)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,15 +24,18 @@
 
 // Run serves until ctx ends and what has been taken by then is answered.
 func Run(ctx context.Context, c *Config, log *slog.Logger) error {
-	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	room := c.Limits.Sockets - ownSockets
-	clients := int(float64(room) * clientPart)
-
 	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Listen))
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	return serve(ctx, c, tcp, log)
+}
+
+func serve(ctx context.Context, c *Config, tcp *net.TCPListener, log *slog.Logger) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	room := c.Limits.Sockets - ownSockets
+	clients := int(float64(room) * clientPart)
 	p, err := listenPeers(c, log)
 	if err != nil {
 		tcp.Close()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -106,19 +106,18 @@
 
 // node is a running node.
 type testNode struct {
-	url, addr string
-	stop      context.CancelFunc
-	ended     chan error
+	addr  string
+	stop  context.CancelFunc
+	ended chan error
 }
 
 func start(t *testing.T, c *Config) *testNode {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	// The listener is handed over: a port that is chosen, freed and taken again may be another's in between.
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Listen = netip.MustParseAddrPort(free.Addr().String())
-	free.Close()
 	if c.Limits.Sockets == 0 {
 		c.Limits = Limits{Cores: 1, MemoryMB: 192, Sockets: 256}
 	}
@@ -126,18 +125,10 @@
 		c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &testNode{addr: c.Listen.String(), url: "http://" + c.Listen.String(), stop: stop, ended: make(chan error, 1)}
-	go func() { n.ended <- Run(ctx, c, quiet); close(n.ended) }()
+	n := &testNode{addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1)}
+	go func() { n.ended <- serve(ctx, c, tcp, quiet); close(n.ended) }()
 	t.Cleanup(func() { stop(); <-n.ended })
-	for end := time.Now().Add(patient); ; time.Sleep(5 * time.Millisecond) {
-		if resp, err := http.Get(n.url + "/health/live"); err == nil {
-			resp.Body.Close()
-			return n
-		}
-		if time.Now().After(end) {
-			t.Fatal("the node does not start")
-		}
-	}
+	return n // connections wait in the listener's queue until it serves
 }
 
 var ids atomic.Int64
@@ -441,13 +432,13 @@
 	t.Parallel()
 	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
 	other := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	refused, err := net.Dial("tcp", addr) // nobody listens at its own end, and nobody else can
 	if err != nil {
 		t.Fatal(err)
 	}
-	refused.Close()
+	defer refused.Close()
 	b := newBackends(&Config{Settings: settings()}, 1, quiet)
-	b.update(known(addr, other, refused.Addr().String()))
+	b.update(known(addr, other, refused.LocalAddr().String()))
 	for i, want := range map[decide.ServerID]decide.OutcomeCode{1: decide.OK, 2: decide.OK, 3: decide.ConnectFailed, 4: decide.ConnectFailed} {
 		if r := b.do(t.Context(), b.find(i), get(patient)); r.code != want {
 			t.Errorf("backend %d: %v (%v)", i, r.code, r.err)
@@ -638,14 +629,8 @@
 		t.Fatal(err)
 	}
 	defer other.Close()
-	own, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ownAddr := own.LocalAddr().(*net.UDPAddr).AddrPort()
-	own.Close()
-	c := &Config{Settings: settings(), Known: known(addr), PeerListen: ownAddr,
-		Peers: []netip.AddrPort{ownAddr, other.LocalAddr().(*net.UDPAddr).AddrPort()}}
+	c := &Config{Settings: settings(), Known: known(addr), PeerListen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Peers: []netip.AddrPort{{}, other.LocalAddr().(*net.UDPAddr).AddrPort()}}
 	c.Settings.MayMessage = true
 	c.Discovery = registry(t, func(_ int, q url.Values) string {
 		seen <- "list since " + q.Get("since")
@@ -660,6 +645,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	ownAddr := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	l := newLoop(ctx, c, b, newDiscovery(c, quiet), p, quiet)
 	l.settings.AskForList = true // the loop asks only when told
 	var running sync.WaitGroup
