--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -764,3 +764,35 @@
 		t.Error("no GW_CONFIG is no error")
 	}
 }
+
+// A backend that let an attempt time out in silence may have been cut off: its idle connections are not used
+// again. One that has answered in the meantime keeps them.
+func TestSilenceClosesIdle(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	for heard, want := range map[bool]int{false: 0, true: 1} {
+		b := newBackends(&Config{Settings: settings()}, 10, quiet)
+		b.update(known(addr))
+		h := b.find(1)
+		var conns [2]*conn
+		for i := range conns {
+			var err error
+			if conns[i], err = b.connect(t.Context(), h, time.Now().Add(patient)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, c := range conns {
+			b.release(h, c, true)
+		}
+		if heard {
+			h.heard = time.Now().Add(patient)
+		}
+		if r := b.do(t.Context(), h, get(time.Second)); r.code != decide.TimedOut {
+			t.Errorf("outcome %v (%v)", r.code, r.err)
+		}
+		if len(h.idle) != want {
+			t.Errorf("heard of it: %v; %d idle connections kept, want %d", heard, len(h.idle), want)
+		}
+		b.update(list{full: true})
+	}
+}
