--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -239,7 +239,7 @@
 		"truncated":        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nx", 502, decide.Reset},
 		"truncated chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nx", 502, decide.Reset},
 		"no end":           {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nx", 502, decide.Reset},
-		"endless header":   {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20), 502, decide.Reset},
+		"huge header":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20) + "\r\nContent-Length: 1\r\n\r\nx", 502, decide.Reset},
 		"too large":        {ok(strings.Repeat("x", bodyLimit+1)), 502, decide.Reset},
 	} {
 		t.Run(name, func(t *testing.T) {
