--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -28,6 +28,8 @@
 }
 
 func run() error {
+	reload := make(chan os.Signal, 1) // first of all: a SIGHUP that nothing catches ends the process
+	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	c, err := node.LoadConfig(os.Getenv)
@@ -37,5 +39,5 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	return node.Run(ctx, c, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return node.Run(ctx, c, reload, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -72,7 +72,9 @@
 	if err != nil || resp.StatusCode != http.StatusOK {
 		t.Errorf("after %q: %v, %v", lines.Text(), resp, err)
 	}
-	cmd.Process.Signal(syscall.SIGTERM)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} { // only one ends it
+		cmd.Process.Signal(s)
+	}
 	for lines.Scan() {
 	}
 	if err := cmd.Wait(); err != nil {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,6 +34,8 @@
 	Peers    []netip.AddrPort
 	Known    list // the backends as this node last had them
 	Settings decide.Settings
+
+	reread func() (*Config, error)
 }
 
 // The least that a node can run with, and what it takes where it isn't told.
@@ -46,6 +48,22 @@
 
 // LoadConfig reads the file that GW_CONFIG names. The other GW_ variables go before what it says.
 func LoadConfig(getenv func(string) string) (*Config, error) {
+	c, err := readConfig(getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.reread = func() (*Config, error) {
+		return readConfig(func(name string) string {
+			if name == "GW_DISCOVERY" { // it still has the address of the start: what is new is in the file
+				return ""
+			}
+			return getenv(name)
+		})
+	}
+	return c, nil
+}
+
+func readConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return nil, errors.New("GW_CONFIG is not set")
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -22,10 +22,11 @@
 
 const (
 	listLimit   = 4 << 20          // bytes of a list, at most
-	watchWait   = 20 * time.Second // for news, in one call of a watch
+	watchWait   = 3 * time.Second  // for news, in one call of a watch: a path that goes silent is noticed by then
 	firstWait   = time.Millisecond // the same in the call that begins one: the module waits for its answer
 	callSlack   = 3 * time.Second  // a call may wait its turn so long beyond that
-	watchSlack  = time.Second      // a watch that is on has its turn: an answer later than this is none
+	dialWait    = time.Second
+	watchSlack  = time.Second // a watch that is on has its turn: an answer later than this is none
 	agentPause  = 50 * time.Millisecond
 	retryFirst  = 200 * time.Millisecond
 	retryLast   = 5 * time.Second
@@ -97,22 +98,22 @@
 	return decide.ServerID(h.Sum32())
 }
 
-// discovery asks for the list of backends. Its calls go out on connections of its own.
+// discovery asks for the list of backends, at one address. Its calls go out on connections of its own.
 type discovery struct {
-	base   string
+	addr   netip.AddrPort
 	client *http.Client
 	log    *slog.Logger
 }
 
-func newDiscovery(c *Config, log *slog.Logger) *discovery {
-	return &discovery{base: "http://" + c.Discovery.String() + registryURL, log: log, client: &http.Client{
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callSlack}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
+func newDiscovery(addr netip.AddrPort, log *slog.Logger) *discovery {
+	return &discovery{addr: addr, log: log, client: &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialWait}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
 }
 
 func (d *discovery) call(ctx context.Context, query string, limit time.Duration) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr.String()+registryURL+query, nil)
 	if err != nil {
 		return list{}, err
 	}
@@ -132,37 +133,53 @@
 }
 
 // fetch asks for the whole list once.
-func (d *discovery) fetch(ctx context.Context) (list, error) { return d.call(ctx, "", callSlack) }
+func (d *discovery) fetch(ctx context.Context) (list, error) {
+	l, err := d.call(ctx, "", callSlack)
+	if err == nil && !l.full {
+		return list{}, errors.New("list: want the whole")
+	}
+	return l, err
+}
 
 // watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
-// fails.
-func (d *discovery) watch(ctx context.Context, since uint64, news func(list)) error {
+// fails. With no version to begin at, it begins with the whole list.
+func (d *discovery) watch(ctx context.Context, since *uint64, news func(list)) error {
+	var version uint64
 	wait, slack := firstWait, callSlack
 	for first := true; ; first = false {
 		asked := time.Now()
-		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+slack)
+		var l list
+		var err error
+		if first && since == nil {
+			l, err = d.fetch(ctx)
+		} else {
+			if first {
+				version = *since
+			}
+			l, err = d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", version, wait.Milliseconds()), wait+slack)
+		}
 		if err != nil {
 			return err
 		}
-		if first || l.full || len(l.entries) > 0 || l.version != since {
+		if first || l.full || len(l.entries) > 0 || l.version != version {
 			news(l)
 		}
 		// An agent may answer at once, always: that must not become a busy loop. A watch goes on over 200 ms.
-		if !first && l.version == since && time.Since(asked) < agentPause {
+		if !first && l.version == version && time.Since(asked) < agentPause {
 			select {
 			case <-ctx.Done():
 			case <-time.After(agentPause):
 			}
 		}
-		since, wait, slack = l.version, watchWait, watchSlack
+		version, wait, slack = l.version, watchWait, watchSlack
 	}
 }
 
 // follow keeps a watch where lists are pushed and so nobody asks for one.
-func (d *discovery) follow(ctx context.Context, since uint64, news func(list)) {
+func (d *discovery) follow(ctx context.Context, since *uint64, news func(list)) {
 	retry := retryFirst
 	for ctx.Err() == nil {
-		err := d.watch(ctx, since, func(l list) { since, retry = l.version, retryFirst; news(l) })
+		err := d.watch(ctx, since, func(l list) { since, retry = &l.version, retryFirst; news(l) })
 		d.log.Debug("watch ended", "err", err)
 		select {
 		case <-ctx.Done():
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -12,7 +12,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,10 +19,12 @@
 )
 
 const (
-	headerWait    = 10 * time.Second // for a request's header
-	bodyWait      = 10 * time.Second // for its body
-	writeWait     = 5 * time.Second  // for the client to take its answer
-	idleWait      = 2 * time.Minute
+	// A connection that brings no whole request within 3 s has been answered or closed by then.
+	headerWait    = 1500 * time.Millisecond // for a request's header, all of it
+	bodyWait      = 1200 * time.Millisecond // for its body, all of it
+	writeWait     = 5 * time.Second         // for the client to take its answer
+	lingerWait    = 200 * time.Millisecond  // for the rest of what has been turned away, so that it gets to read why
+	idleWait      = 5 * time.Second         // then it is cheaper to connect again than to keep one that may never ask
 	headerLimit   = 16 << 10
 	patienceLimit = time.Hour
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
@@ -33,20 +34,20 @@
 
 // frontend serves clients.
 type frontend struct {
-	loop     *loop
-	log      *slog.Logger
-	classes  map[string]decide.Class
-	draining atomic.Bool
-	open     atomic.Int64 // requests
-	maxOpen  int64
-	conns    *connections
+	loop      *loop
+	log       *slog.Logger
+	classes   map[string]decide.Class
+	draining  atomic.Bool
+	open      atomic.Int64 // requests that the module has
+	maxOpen   int64
+	bodies    atomic.Int64 // bytes of bodies that are held
+	maxBodies int64
 }
 
-func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: int64(maxConns),
-		conns: &connections{limit: maxConns, idle: map[net.Conn]struct{}{}}}
+func newFrontend(l *loop, maxBodies int64, log *slog.Logger) *frontend {
+	f := &frontend{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: math.MaxInt64, maxBodies: maxBodies}
 	if m := l.settings.MaxOpen; m > 0 {
-		f.maxOpen = min(f.maxOpen, int64(m))
+		f.maxOpen = int64(m)
 	}
 	for _, c := range l.settings.Classes {
 		f.classes[c.Name] = c
@@ -54,40 +55,60 @@
 	return f
 }
 
-func (f *frontend) server() *http.Server {
+type connKey struct{}
+
+func (f *frontend) server(a *admission) *http.Server {
 	return &http.Server{Handler: f, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
-		ConnState: f.conns.track, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
+		ConnState: a.track, DisableGeneralOptionsHandler: true,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 }
 
 // ready tells whether the node can serve.
 func (f *frontend) ready() bool { return !f.draining.Load() && f.loop.able.Load() }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() || f.conns.crowded() {
+	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	class, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	switch {
-	case class == "health" && (rest == "ready" || rest == "live"):
+	if class == "health" && (rest == "ready" || rest == "live") && r.ContentLength == 0 {
 		if rest == "ready" && !f.ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 		return
-	case class == "" || class == "health":
-		http.NotFound(w, r)
+	}
+	settings, known := f.classes[class]
+	if !known {
+		reject(w, http.StatusNotFound, "no such path")
 		return
 	}
-	if f.open.Add(1) > f.maxOpen || f.conns.crowded() {
-		f.open.Add(-1)
+	patience, status, fault := check(r, settings)
+	if fault != "" {
+		reject(w, status, fault)
+		return
+	}
+	defer f.bodies.Add(-r.ContentLength)
+	if f.bodies.Add(r.ContentLength) > f.maxBodies {
+		w.Header().Set("Connection", "close") // its body is not read
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerWait))
 		f.write(w, answer{status: http.StatusServiceUnavailable, holdOff: busyHoldOff})
 		return
 	}
+	body, status, fault := readBody(w, r)
+	if fault != "" {
+		reject(w, status, fault)
+		return
+	}
+	if c := r.Context().Value(connKey{}).(*clientConn); c.lost() {
+		panic(http.ErrAbortHandler)
+	}
 	defer f.open.Add(-1)
-	req, status, err := f.read(w, r, class)
-	if err != nil {
-		http.Error(w, err.Error(), status)
+	if f.open.Add(1) > f.maxOpen {
+		f.write(w, answer{status: http.StatusServiceUnavailable, holdOff: busyHoldOff})
 		return
 	}
+	req := newRequest(r, class, patience, body)
 	if !f.loop.post(func() { f.loop.arrive(req) }) {
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
@@ -98,8 +119,9 @@
 	case a := <-req.answer:
 		f.write(w, a)
 	case <-r.Context().Done():
+		// It has closed its connection, or its own direction only: then it is told that nothing comes.
 		f.loop.post(func() { f.loop.abandon(req) })
-		panic(http.ErrAbortHandler) // else net/http would answer 200 to a client that reads on
+		reject(w, http.StatusBadRequest, "the client has closed")
 	case <-late.C:
 		f.loop.post(func() { f.loop.abandon(req) })
 		f.log.Warn("overdue", "id", req.arrived.ID)
@@ -109,50 +131,76 @@
 	}
 }
 
-// read takes in a request, or says what is wrong with it.
-func (f *frontend) read(w http.ResponseWriter, r *http.Request, class string) (*request, int, error) {
-	settings, known := f.classes[class]
-	id := r.Header.Get("X-Correlation-Id")
-	if !known && id == "" {
-		return nil, http.StatusNotFound, errors.New("no such path")
+// reject answers what is no request. Where one ends on its connection is in doubt, so nothing more is read there.
+func reject(w http.ResponseWriter, status int, fault string) {
+	w.Header().Set("Connection", "close")
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerWait)) // net/http reads some of a body that is left
+	http.Error(w, fault, status)
+}
+
+// check says what is wrong with a request by its header, or how long its client waits.
+func check(r *http.Request, class decide.Class) (patience time.Duration, status int, fault string) {
+	method := http.MethodPost
+	if class.Effect == decide.Safe {
+		method = http.MethodGet
 	}
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
-		return nil, http.StatusMethodNotAllowed, errors.New("GET or POST only")
+	keys := r.Header["Idempotency-Key"]
+	switch {
+	case !r.ProtoAtLeast(1, 1): // net/http would pass over a Transfer-Encoding there
+		return 0, http.StatusHTTPVersionNotSupported, "HTTP/1.1 only"
+	case len(r.TransferEncoding) > 0: // a Content-Length beside it is gone by now
+		return 0, http.StatusLengthRequired, "Content-Length only"
+	case r.Method != http.MethodGet && r.Method != http.MethodPost, r.Method != method:
+		return 0, http.StatusMethodNotAllowed, "the class wants " + method
+	case method == http.MethodGet && r.ContentLength > 0:
+		return 0, http.StatusBadRequest, "GET takes no body"
+	case r.ContentLength > bodyLimit:
+		return 0, http.StatusRequestEntityTooLarge, "the body is too large"
+	case !one(r.Header["X-Correlation-Id"]):
+		return 0, http.StatusBadRequest, "want one X-Correlation-Id"
+	case class.Effect == decide.Keyed && !one(keys), class.Effect != decide.Keyed && len(keys) > 0:
+		return 0, http.StatusBadRequest, "want one Idempotency-Key on keyed requests, none on others"
 	}
-	if id == "" {
-		return nil, http.StatusBadRequest, errors.New("X-Correlation-Id is missing")
+	left := r.Header["X-Time-Left"]
+	if !one(left) || strings.Trim(left[0], "0123456789.") != "" {
+		return 0, http.StatusBadRequest, "X-Time-Left is not a number of seconds"
 	}
-	if known && settings.Effect == decide.Keyed && r.Header.Get("Idempotency-Key") == "" {
-		return nil, http.StatusBadRequest, errors.New("Idempotency-Key is missing")
+	seconds, err := strconv.ParseFloat(left[0], 64)
+	if err != nil {
+		return 0, http.StatusBadRequest, "X-Time-Left is not a number of seconds"
 	}
-	left, err := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
-	if err != nil || math.IsNaN(left) || math.IsInf(left, 0) {
-		return nil, http.StatusBadRequest, errors.New("X-Time-Left is not a number of seconds")
+	return time.Duration(min(seconds, patienceLimit.Seconds()) * float64(time.Second)), 0, ""
+}
+
+func one(values []string) bool { return len(values) == 1 && values[0] != "" }
+
+// readBody takes in the body, whole and in time, or says what is wrong with it.
+func readBody(w http.ResponseWriter, r *http.Request) (body []byte, status int, fault string) {
+	if r.ContentLength == 0 {
+		return nil, 0, ""
 	}
 	control := http.NewResponseController(w)
-	var body []byte
-	if r.ContentLength != 0 {
-		control.SetReadDeadline(time.Now().Add(bodyWait))
-		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit)); err != nil {
-			if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-				return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
-			}
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return nil, http.StatusRequestTimeout, errors.New("the body does not come")
-			}
-			return nil, http.StatusBadRequest, errors.New("the body is malformed")
-		}
-		control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
+	control.SetReadDeadline(time.Now().Add(bodyWait))
+	body, err := io.ReadAll(r.Body) // grows with what has come, whatever the length says
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout, "the body does not come"
+	case err != nil:
+		return nil, http.StatusBadRequest, "the body is malformed"
 	}
-	patience := time.Duration(min(left, patienceLimit.Seconds()) * float64(time.Second))
-	e := decide.RequestArrived{ID: decide.RequestID(id), Class: class, Tenant: r.Header.Get("X-Account"),
+	control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
+	return body, 0, ""
+}
+
+func newRequest(r *http.Request, class string, patience time.Duration, body []byte) *request {
+	e := decide.RequestArrived{ID: decide.RequestID(r.Header.Get("X-Correlation-Id")), Class: class, Tenant: r.Header.Get("X-Account"),
 		Key: r.URL.Query().Get("obj"), Repeat: r.Header.Get("X-Repeat") == "1", Write: fact(r.Header.Get("X-Facts"), "write")}
 	if us, err := strconv.ParseFloat(r.Header.Get("X-Weight-Hint"), 64); err == nil && us >= 0 && us < patienceLimit.Seconds()*1e6 {
 		e.WorkHint, e.HasHint = time.Duration(us*float64(time.Microsecond)), true
 	}
 	return &request{arrived: e, deadline: time.Now().Add(patience - answerMargin), method: r.Method, body: body,
 		url:    &url.URL{Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
-		header: endToEnd(r.Header), answer: make(chan answer, 1)}, 0, nil
+		header: endToEnd(r.Header), answer: make(chan answer, 1)}
 }
 
 // fact tells whether one of the further figures of a request is set.
@@ -165,12 +213,17 @@
 	return false
 }
 
-// endToEnd copies a header without what belongs to one connection or is the node's own.
+// endToEnd copies a header without what belongs to one connection or is the node's own. What tells one request
+// from another goes on, whatever Connection says of it.
 func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	for _, field := range h["Connection"] {
 		for name := range strings.SplitSeq(field, ",") {
-			out.Del(strings.TrimSpace(name))
+			switch name = http.CanonicalHeaderKey(strings.TrimSpace(name)); name {
+			case "X-Correlation-Id", "Idempotency-Key":
+			default:
+				out.Del(name)
+			}
 		}
 	}
 	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -195,6 +248,9 @@
 	if f.draining.Load() { // it may have begun while the request was out
 		h.Set("Connection", "close")
 	}
+	if a.status == http.StatusConflict {
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	if a.holdOff > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
@@ -203,74 +259,3 @@
 	w.WriteHeader(a.status)
 	w.Write(a.body)
 }
-
-// connections counts the clients' connections. Above the limit new requests are refused at once and idle ones
-// closed, so that there is always room to read and answer what has been accepted.
-type connections struct {
-	mu    sync.Mutex
-	count int
-	limit int
-	idle  map[net.Conn]struct{}
-}
-
-func (c *connections) crowded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.count > c.limit
-}
-
-func (c *connections) track(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		c.count++
-		if c.count > c.limit {
-			for idle := range c.idle {
-				delete(c.idle, idle)
-				idle.Close()
-				break
-			}
-		}
-	case http.StateIdle:
-		c.idle[conn] = struct{}{}
-	case http.StateActive:
-		delete(c.idle, conn)
-	case http.StateClosed, http.StateHijacked:
-		delete(c.idle, conn)
-		c.count--
-	}
-}
-
-// capped accepts no more connections than there are descriptors for. Beyond it they wait, for the moment that
-// refusing takes. It keeps *net.TCPConn in sight, as a wrapper would hide CloseWrite from net/http, which then
-// resets connections with an answer on them.
-type capped struct {
-	*net.TCPListener
-	slots chan struct{}
-	ctx   context.Context
-}
-
-type cappedConn struct {
-	*net.TCPConn
-	free func()
-}
-
-func (c *cappedConn) Close() error {
-	defer c.free()
-	return c.TCPConn.Close()
-}
-
-func (l *capped) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.ctx.Done():
-		return nil, net.ErrClosed
-	}
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &cappedConn{conn, sync.OnceFunc(func() { <-l.slots })}, nil
-}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,9 +3,12 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"net/url"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +78,7 @@
 	queue     []decide.Event
 	handling  bool
 	ready     map[decide.ServerID]bool
-	version   uint64
+	version   *uint64 // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
 }
@@ -107,8 +110,7 @@
 	known.full = true
 	l.follow(known, decide.ListCached)
 	if !l.settings.AskForList {
-		since := known.version
-		l.work.Go(func() { l.disco.follow(l.ctx, since, func(n list) { l.post(func() { l.news(n) }) }) })
+		l.listen()
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -167,9 +169,15 @@
 	case decide.Subscribe:
 		l.subscribe(a.On)
 	case decide.FetchList:
+		d := l.disco
 		l.work.Go(func() {
-			n, err := l.disco.fetch(l.ctx)
-			l.post(func() { l.told(n, err) })
+			n, err := d.fetch(l.ctx)
+			l.post(func() {
+				if d != l.disco {
+					n, err = list{}, errors.New("discovery has moved")
+				}
+				l.told(n, err)
+			})
 		})
 	case decide.CloseIdle:
 		l.backends.closeIdle(a.Server)
@@ -298,38 +306,85 @@
 	if on && l.endWatch != nil && !l.watchOpen {
 		return
 	}
-	if l.endWatch != nil {
-		l.endWatch()
-		l.endWatch = nil
-	}
+	l.unwatch()
 	if !on {
 		return
 	}
+	ctx, current := l.watching()
+	d, since := l.disco, l.version
+	l.work.Go(func() {
+		err := d.watch(ctx, since, func(n list) { current(func() { l.watchOpen = true; l.news(n) }) })
+		current(func() { l.unwatch(); l.told(list{}, err) })
+	})
+}
+
+// listen keeps a watch where lists are pushed and so nobody asks for one.
+func (l *loop) listen() {
+	ctx, current := l.watching()
+	d, since := l.disco, l.version
+	l.work.Go(func() { d.follow(ctx, since, func(n list) { current(func() { l.news(n) }) }) })
+}
+
+// watching gives what a new watch needs: a context, and a way into the loop for as long as it is not ended.
+func (l *loop) watching() (context.Context, func(func())) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	l.endWatch, l.watchOpen = cancel, false
-	since := l.version
-	current := func(f func()) { // nothing of a watch that has been ended since
+	return ctx, func(f func()) {
 		l.post(func() {
 			if ctx.Err() == nil {
 				f()
 			}
 		})
 	}
-	l.work.Go(func() {
-		err := l.disco.watch(ctx, since, func(n list) { current(func() { l.watchOpen = true; l.news(n) }) })
-		current(func() {
-			cancel()
-			l.endWatch = nil
-			l.told(list{}, err)
-		})
-	})
+}
+
+func (l *loop) unwatch() {
+	if l.endWatch != nil {
+		l.endWatch()
+		l.endWatch = nil
+	}
+}
+
+// reload reads the configuration again whenever it is told to, until ctx ends. A bad one changes nothing; of a good
+// one discovery's address takes effect, what else is new in it at the next start.
+func (l *loop) reload(ctx context.Context, c *Config, asked <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		next, err := c.reread()
+		if err != nil {
+			l.log.Error("configuration not taken", "err", err)
+			continue
+		}
+		l.post(func() { l.move(next.Discovery) })
+	}
+}
+
+// move has discovery asked at another address, for the whole list at once: its versions need not go on from those
+// that the old one gave. A watch at the old address may hang, and would be taken for one that is kept.
+func (l *loop) move(to netip.AddrPort) {
+	if to == l.disco.addr {
+		return
+	}
+	l.log.Info("discovery moves", "to", to)
+	l.unwatch()
+	l.disco.client.CloseIdleConnections()
+	l.disco, l.version = newDiscovery(to, l.log), nil
+	if l.settings.AskForList {
+		l.subscribe(true)
+	} else {
+		l.listen()
+	}
 }
 
 // told takes the answer to a call that the module made.
 func (l *loop) told(n list, err error) {
 	if err != nil {
 		l.log.Info("discovery", "err", err)
-		l.handle(decide.ListUpdate{Kind: decide.ListFailed, Version: l.version})
+		l.handle(decide.ListUpdate{Kind: decide.ListFailed})
 		return
 	}
 	l.news(n)
@@ -345,7 +400,7 @@
 
 // follow takes a list: connections first, so that nothing goes where the list says no.
 func (l *loop) follow(n list, kind decide.ListKind) {
-	l.version = n.version
+	l.version = &n.version
 	l.backends.update(n)
 	if n.full {
 		clear(l.ready)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,31 +7,32 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
 
 const (
 	// Of the descriptors, a few are the process's own; clients' connections get this part of the rest, and
-	// backends what remains. From the soft limit on, clients are refused; to the hard one they are let in to be.
+	// backends what remains. Bodies that are being read or held get their part of the memory.
 	ownSockets = 24
 	clientPart = 0.6
-	softPart   = 0.85
+	bodyPart   = 1.0 / 8
 
 	drainAccept = 600 * time.Millisecond // connections come for 0.4 s after SIGTERM; the rest is for the accept queue
 	drainExtra  = 300 * time.Millisecond // beyond the longest deadline, to write the last answers
 )
 
-// Run serves until ctx ends and what has been taken by then is answered.
-func Run(ctx context.Context, c *Config, log *slog.Logger) error {
+// Run serves until ctx ends and what has been taken by then is answered. On reload it reads the configuration again.
+func Run(ctx context.Context, c *Config, reload <-chan os.Signal, log *slog.Logger) error {
 	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Listen))
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, c, tcp, log)
+	return serve(ctx, c, tcp, reload, log)
 }
 
-func serve(ctx context.Context, c *Config, tcp *net.TCPListener, log *slog.Logger) error {
+func serve(ctx context.Context, c *Config, tcp *net.TCPListener, reload <-chan os.Signal, log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	room := c.Limits.Sockets - ownSockets
@@ -42,9 +43,10 @@
 		return err
 	}
 	b := newBackends(c, room-clients, log)
-	l := newLoop(inner, c, b, newDiscovery(c, log), p, log)
-	f := newFrontend(l, int(float64(clients)*softPart), log)
-	srv := f.server()
+	l := newLoop(inner, c, b, newDiscovery(c.Discovery, log), p, log)
+	f := newFrontend(l, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
+	door := newAdmission(tcp, clients)
+	srv := f.server(door)
 
 	var running sync.WaitGroup
 	running.Go(func() { l.run(c.Known) })
@@ -54,9 +56,8 @@
 		running.Go(func() { p.read(l.heard) })
 	}
 	served := make(chan error, 1)
-	running.Go(func() {
-		served <- srv.Serve(&capped{TCPListener: tcp, slots: make(chan struct{}, clients), ctx: inner})
-	})
+	running.Go(func() { served <- srv.Serve(door) })
+	running.Go(func() { l.reload(inner, c, reload) })
 	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
 
 	select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,6 +109,7 @@
 // node is a running node.
 type testNode struct {
 	addr  string
+	hup   chan os.Signal
 	stop  context.CancelFunc
 	ended chan error
 }
@@ -125,8 +128,8 @@
 		c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &testNode{addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1)}
-	go func() { n.ended <- serve(ctx, c, tcp, quiet); close(n.ended) }()
+	n := &testNode{addr: tcp.Addr().String(), hup: make(chan os.Signal), stop: stop, ended: make(chan error, 1)}
+	go func() { n.ended <- serve(ctx, c, tcp, n.hup, quiet); close(n.ended) }()
 	t.Cleanup(func() { stop(); <-n.ended })
 	return n // connections wait in the listener's queue until it serves
 }
@@ -190,30 +193,184 @@
 	}
 }
 
+// What is no request gets a 4xx or 5xx that is no refusal, nothing goes to a backend, and the connection is closed:
+// what comes after it may have stood inside a body.
 func TestBadInput(t *testing.T) {
 	t.Parallel()
-	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	var passed atomic.Int64
+	addr := backend(t, answering(func(*http.Request, []byte) string { passed.Add(1); return ok("x") }))
 	n := start(t, &Config{Settings: settings(), Known: known(addr)})
-	head := "Host: h\r\nX-Correlation-Id: q\r\n"
+	const host, id, left, key, none = "Host: h\r\n", "X-Correlation-Id: q\r\n", "X-Time-Left: 9\r\n", "Idempotency-Key: k\r\n", "Content-Length: 0\r\n"
+	const get, post, head, end = "GET /read HTTP/1.1\r\n", "POST /order HTTP/1.1\r\n", host + id + left, "\r\n"
+	hidden := post + "Host: h\r\nX-Correlation-Id: hidden\r\n" + left + none + end
 	for text, want := range map[string]int{
-		"\x16\x03\x01\r\n\r\n": 400,
-		"GET /read HTTP/1.1\r\nHost: h\r\nX-Time-Left: 1\r\n\r\n":                                                                           400,
-		"GET /read HTTP/1.1\r\n" + head + "X-Time-Left: NaN\r\n\r\n":                                                                        400,
-		"GET /read HTTP/1.1\r\n" + head + "X-Time-Left: soon\r\n\r\n":                                                                       400,
-		"POST /tag HTTP/1.1\r\n" + head + "X-Time-Left: 1\r\nContent-Length: 0\r\n\r\n":                                                     400,
-		"POST /order HTTP/1.1\r\n" + head + "X-Time-Left: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n":                                400,
-		"GET / HTTP/1.1\r\nHost: h\r\n\r\n":                                                                                                 404,
-		"GET /favicon.ico HTTP/1.1\r\nHost: h\r\n\r\n":                                                                                      404,
-		"GET /health/other HTTP/1.1\r\nHost: h\r\n\r\n":                                                                                     404,
-		"DELETE /read HTTP/1.1\r\n" + head + "X-Time-Left: 1\r\n\r\n":                                                                       405,
-		"POST /order HTTP/1.1\r\n" + head + "X-Time-Left: 9\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("b", 70000):                  413,
-		"POST /order HTTP/1.1\r\n" + head + "X-Time-Left: 1e300\r\nX-Weight-Hint: -1e400\r\nX-Facts: ,=,write\r\nContent-Length: 0\r\n\r\n": 200,
-		"POST /unheard-of HTTP/1.1\r\n" + head + "X-Time-Left: 9\r\nContent-Length: 0\r\n\r\n":                                              200,
-		"GET /read HTTP/1.1\r\n" + head + "X-Time-Left: -5\r\n\r\n":                                                                         503,
+		"\x16\x03\x01\r\n\r\n":                                                                                        400,
+		get + host + left + end:                                                                                       400,
+		get + host + id + id + left + end:                                                                             400,
+		get + host + "X-Correlation-Id: \r\n" + left + end:                                                            400,
+		get + host + id + end:                                                                                         400,
+		get + head + left + end:                                                                                       400,
+		get + host + id + "X-Time-Left: NaN\r\n" + end:                                                                400,
+		get + host + id + "X-Time-Left: soon\r\n" + end:                                                               400,
+		get + host + id + "X-Time-Left: -5\r\n" + end:                                                                 400,
+		get + host + id + "X-Time-Left: 0x10\r\n" + end:                                                               400,
+		get + host + id + "X-Time-Left: 1e3\r\n" + end:                                                                400,
+		get + host + id + "X-Time-Left: .\r\n" + end:                                                                  400,
+		get + head + "Content-Length: 1\r\n" + end + "x":                                                              400,
+		get + head + key + end:                                                                                        400,
+		"POST /tag HTTP/1.1\r\n" + head + none + end:                                                                  400,
+		"POST /tag HTTP/1.1\r\n" + head + key + key + none + end:                                                      400,
+		"POST /tag HTTP/1.1\r\n" + head + "Idempotency-Key:\r\n" + none + end:                                         400,
+		post + head + key + none + end:                                                                                400,
+		post + head + "Content-Length: -1\r\n" + end:                                                                  400,
+		post + head + "Content-Length: x\r\n" + end:                                                                   400,
+		post + head + "Content-Length: 3\r\nContent-Length: 4\r\n" + end + "abcd":                                     400,
+		post + head + "Content-Length: 99999999999999999999\r\n" + end:                                                400,
+		post + head + "Content-Length: 99999999999\r\n" + end:                                                         413,
+		post + head + "Content-Length: 70000\r\n" + end + strings.Repeat("b", 70000):                                  413,
+		post + head + "Transfer-Encoding: chunked\r\n" + end + "zz\r\n\r\n":                                           411,
+		post + head + "Transfer-Encoding: chunked\r\n" + end + "0\r\n\r\n":                                            411,
+		post + head + "Transfer-Encoding: chunked\r\n" + none + end + "0\r\n\r\n" + hidden:                            411,
+		post + head + fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n", len(hidden)) + end + hidden: 411,
+		"POST /order HTTP/1.0\r\n" + head + "Transfer-Encoding: chunked\r\n" + none + end:                             505,
+		"GET /order HTTP/1.1\r\n" + head + end:                                                                        405,
+		"POST /read HTTP/1.1\r\n" + head + none + end:                                                                 405,
+		"DELETE /read HTTP/1.1\r\n" + head + end:                                                                      405,
+		"POST /unheard-of HTTP/1.1\r\n" + head + none + end:                                                           404,
+		"GET / HTTP/1.1\r\n" + host + end:                                                                             404,
+		"OPTIONS * HTTP/1.1\r\n" + host + end:                                                                         404,
+		"GET /favicon.ico HTTP/1.1\r\n" + host + end:                                                                  404,
+		"GET /health/other HTTP/1.1\r\n" + host + end:                                                                 404,
+		get + host + strings.Repeat("X-Pad: p\r\n", 1<<12) + end:                                                      431,
 	} {
-		if resp, _ := n.ask(t, text); resp.StatusCode != want {
-			t.Errorf("%.80q: status %d, want %d", text, resp.StatusCode, want)
+		c, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(patient))
+		io.WriteString(c, text+hidden)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%.200q: %v", text, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != want || !resp.Close {
+			t.Errorf("%.200q: status %d, want %d; closes: %v", text, resp.StatusCode, want, resp.Close)
+		}
+		if more, err := io.ReadAll(r); len(more) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%.200q: another answer %q, %v", text, more, err)
+		}
+		c.Close()
+	}
+	if passed.Load() > 0 {
+		t.Errorf("%d came to the backend", passed.Load())
+	}
+	odd := post + head + "X-Weight-Hint: -1e400\r\nX-Facts: ,=,write\r\n" + none + end
+	if resp, _ := n.ask(t, odd); resp.StatusCode != 200 {
+		t.Errorf("odd hints: status %d", resp.StatusCode)
+	}
+}
+
+// A Connection header that names a request's id or key does not take it away: without them a repeat can't be told.
+func TestConnectionHeaderKeepsIdentity(t *testing.T) {
+	t.Parallel()
+	h := endToEnd(http.Header{"Connection": {"X-Hop, x-correlation-id", "idempotency-key"}, "X-Hop": {"1"}, "X-Correlation-Id": {"q"}, "Idempotency-Key": {"k"}})
+	if len(h) != 2 || h.Get("X-Correlation-Id") != "q" || h.Get("Idempotency-Key") != "k" {
+		t.Errorf("%v goes on", h)
+	}
+}
+
+// Silent connections, heads and bodies without end are closed or answered within 3 s, and hundreds of them shut
+// nobody out; nor do connections that have asked once and stay.
+func TestSilentClients(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	n := start(t, &Config{Settings: settings(), Known: known(addr), Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: leastSockets}})
+	stuck := message("order", "9.5", "abc")
+	stuck = stuck[:len(stuck)-1]
+	var waiting sync.WaitGroup
+	for i := range 100 {
+		text := []string{"", "GET /re", "GET /read HTTP/1.1\r\nX: y\r\n", stuck, message("read", "9.5", "")}[i%5]
+		c, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		waiting.Go(func() {
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patient))
+			if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%.20q is left open", text)
+			}
+		})
+	}
+	for end := time.Now().Add(patient); ; time.Sleep(50 * time.Millisecond) { // long before they would time out
+		if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode == 200 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("shut out")
+		}
+	}
+	waiting.Wait()
+}
+
+// At the bound the longest wait goes first, one with a request open never, and a request that crosses its
+// connection's end is not passed on.
+func TestAdmission(t *testing.T) {
+	t.Parallel()
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	a := newAdmission(tcp, 3)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
 		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	accept := func() *clientConn {
+		dial()
+		c, err := a.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.(*clientConn)
+	}
+	busy, idle, fresh := accept(), accept(), accept()
+	a.track(busy, http.StateActive)
+	a.track(idle, http.StateActive)
+	a.track(idle, http.StateIdle)
+	refused := dial()
+	done := make(chan *clientConn)
+	go func() { c, _ := a.Accept(); done <- c.(*clientConn) }()
+	refused.SetDeadline(time.Now().Add(patient))
+	if resp, err := http.ReadResponse(bufio.NewReader(refused), nil); err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("with none to close: %v, %v", resp, err)
+	}
+	a.mu.Lock()
+	idle.since, fresh.since = time.Now().Add(-idleLeast), time.Now().Add(-freshLeast)
+	a.mu.Unlock()
+	dial()
+	third := <-done
+	a.track(third, http.StateActive)
+	if !idle.lost() || fresh.lost() || busy.lost() {
+		t.Error("the wrong one was closed first")
+	}
+	fourth := accept()
+	a.track(fourth, http.StateActive)
+	if !fresh.lost() || busy.lost() || a.count != 3 {
+		t.Errorf("the wrong one was closed second; %d open", a.count)
+	}
+	for _, c := range []*clientConn{busy, third, fourth, idle, fresh} {
+		c.Close()
+	}
+	if a.count != 0 || a.fresh.Len() != 0 || a.idle.Len() != 0 {
+		t.Errorf("%d open, %d and %d wait", a.count, a.fresh.Len(), a.idle.Len())
 	}
 }
 
@@ -602,6 +759,57 @@
 	}
 }
 
+// On SIGHUP discovery is asked at its new address, for the whole list at once: the versions there need not go on from
+// the old ones, and the watch at the old address hangs. A bad file changes nothing. Reloads in a row do no harm.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	for _, pushed := range []bool{false, true} {
+		addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+		hang, hung := make(chan struct{}), make(chan struct{}, 9)
+		c := &Config{Settings: settings(), Known: list{version: 40}}
+		c.Settings.AskForList = !pushed
+		c.Discovery = registry(t, func(_ int, q url.Values) string {
+			hung <- struct{}{}
+			<-hang
+			return ""
+		})
+		calls := make(chan string, 99)
+		to := registry(t, func(n int, q url.Values) string {
+			calls <- q.Get("since")
+			if n == 1 {
+				return jsonList(7, true, "ready", addr)
+			}
+			<-hang
+			return ""
+		})
+		files := make(chan error)
+		c.reread = func() (*Config, error) {
+			if err := <-files; err != nil {
+				return nil, err
+			}
+			return &Config{Discovery: to}, nil
+		}
+		n := start(t, c)
+		<-hung
+		n.hup <- syscall.SIGHUP
+		files <- errors.New("bad")
+		n.waitReady(t, 503)
+		for range 3 {
+			n.hup <- syscall.SIGHUP
+			files <- nil
+		}
+		n.waitReady(t, 200)
+		if first, second := <-calls, <-calls; first != "" || second != "7" {
+			t.Errorf("pushed: %v: asked since %q and %q", pushed, first, second)
+		}
+		n.stop()
+		close(hang)
+		if err := <-n.ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Every action works, also those that the module does not use today.
 func TestActions(t *testing.T) {
 	t.Parallel()
@@ -634,7 +842,7 @@
 	c.Settings.MayMessage = true
 	c.Discovery = registry(t, func(_ int, q url.Values) string {
 		seen <- "list since " + q.Get("since")
-		if q.Get("timeout_ms") == "20000" {
+		if q.Get("timeout_ms") == "3000" {
 			time.Sleep(50 * time.Millisecond)
 		}
 		return jsonList(1, !q.Has("since"), "ready", addr)
@@ -646,7 +854,7 @@
 		t.Fatal(err)
 	}
 	ownAddr := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	l := newLoop(ctx, c, b, newDiscovery(c, quiet), p, quiet)
+	l := newLoop(ctx, c, b, newDiscovery(c.Discovery, quiet), p, quiet)
 	l.settings.AskForList = true // the loop asks only when told
 	var running sync.WaitGroup
 	running.Go(func() { l.run(c.Known) })
@@ -760,6 +968,13 @@
 			t.Errorf("%s for %s: error %v", bad[1], bad[0], err)
 		}
 	}
+	c, err = load(good, map[string]string{"GW_DISCOVERY": "127.0.0.1:98"})
+	if err != nil || c.Discovery.Port() != 98 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	if c, err = c.reread(); err != nil || c.Discovery.Port() != 81 {
+		t.Errorf("read again: %+v, %v; the file has what is new", c, err)
+	}
 	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
 		t.Error("no GW_CONFIG is no error")
 	}
