--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -184,26 +184,29 @@
 
 // usable tells whether an idle connection may take a request: young enough, and quiet. A write to one that the
 // backend has closed would succeed, and then leave open whether the request ran.
-func (b *backends) usable(c *conn) bool { return time.Since(c.since) < b.idleLimit && c.quiet() }
+func (b *backends) usable(c *conn) bool {
+	text, open := c.behind()
+	return time.Since(c.since) < b.idleLimit && open && text == ""
+}
 
-// quiet tells whether a connection is open with nothing on it. What is on it belongs to no request, and would be
-// taken for the next one's answer.
-func (c *conn) quiet() bool {
-	if c.r.Buffered() > 0 {
-		return false
+// behind gives the beginning of what has come on a connection beyond the answer that was read, and tells whether
+// the connection is open. That text belongs to no request, and would be taken for the next one's answer.
+func (c *conn) behind() (text string, open bool) {
+	if n := c.r.Buffered(); n > 0 {
+		next, _ := c.r.Peek(min(n, len(httpStart)))
+		return string(next), true
 	}
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		return false
+		return "", false
 	}
-	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, err := syscall.Read(int(fd), one[:])
-		quiet = err == syscall.EAGAIN
+		var next [len(httpStart)]byte
+		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		text, open = string(next[:max(0, n)]), n > 0 || err == syscall.EAGAIN
 		return true
 	})
-	return err == nil && quiet
+	return text, open && err == nil
 }
 
 var (
@@ -421,13 +424,12 @@
 		// A body that ends with its connection looks whole when the backend has died within it.
 		return result{code: decide.Reset, err: errTruncated}, false
 	}
-	keep = c.quiet() && !resp.Close
-	if n := c.r.Buffered(); n > 0 {
+	more, open := c.behind()
+	if more != "" && !strings.HasPrefix(httpStart, more) {
 		// Another answer behind this one leaves this one good. Anything else may be its own end, and its length wrong.
-		if next, _ := c.r.Peek(min(n, len(httpStart))); !strings.HasPrefix(httpStart, string(next)) {
-			return result{code: decide.Reset, err: errors.New("the answer is longer than its length")}, false
-		}
+		return result{code: decide.Reset, err: errors.New("the answer is longer than its length")}, false
 	}
+	keep = open && more == "" && !resp.Close
 	r = result{code: decide.ServerError, report: parseReport(resp.Header.Get("X-Backend-Load")), header: resp.Header, body: body}
 	switch status := resp.StatusCode; {
 	case status == http.StatusOK:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -393,6 +393,7 @@
 		"part of a copy":   {ok("x") + "HTT", 200, decide.OK},
 		"noise behind":     {ok("x") + "\x8e1\xc0", 502, decide.Reset},
 		"short length":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcd", 502, decide.Reset},
+		"short by much":    {"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 20000), 502, decide.Reset},
 		"two lengths":      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nabcd", 502, decide.Reset},
 		"negative length":  {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 4\r\n\r\nabcd", 502, decide.Reset},
 		"no end of length": {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20), 502, decide.Reset},
@@ -488,12 +489,39 @@
 					t.Errorf("%s after %v: %v %q", name, late, r.code, r.body)
 				}
 				<-sent
+				if text, open := "", true; late > 0 && len(b.find(1).idle) > 0 { // what has been written comes
+					c := b.find(1).idle[0]
+					for end := time.Now().Add(patient); text == "" && open && time.Now().Before(end); text, open = c.behind() {
+						time.Sleep(time.Millisecond)
+					}
+				}
 			}
 			b.update(list{full: true})
 		}
 	}
 }
 
+// A connection rests after an answer: what comes right behind it may come only when it would be in use again.
+func TestRest(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	b := newBackends(&Config{Settings: settings()}, 10, quiet)
+	b.update(known(addr))
+	h := b.find(1)
+	for _, c := range []struct {
+		rested time.Duration
+		open   int
+	}{{0, 1}, {-patient, 2}, {restLeast, 2}} {
+		for _, idle := range h.idle {
+			idle.since = time.Now().Add(-c.rested)
+		}
+		if r := b.do(t.Context(), h, get(patient)); r.code != decide.OK || b.open != c.open {
+			t.Errorf("rested %v: %v, %d open, want %d", c.rested, r.code, b.open, c.open)
+		}
+	}
+	b.update(list{full: true})
+}
+
 // inPieces is answering for what is written in pieces.
 func inPieces(reply func(net.Conn)) func(net.Conn) {
 	return func(c net.Conn) {
