--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -80,6 +80,12 @@
 	return c
 }
 
+func (a *admission) held() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.count
+}
+
 // longest gives the connection that is to make room, if one may be closed.
 func (a *admission) longest() *clientConn {
 	for _, from := range []struct {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -37,8 +37,9 @@
 	loop      *loop
 	log       *slog.Logger
 	classes   map[string]decide.Class
-	draining  atomic.Bool
-	open      atomic.Int64 // requests that the module has
+	drainEnd  atomic.Pointer[time.Time] // set once the node is to end
+	closing   atomic.Bool               // it takes no more requests
+	open      atomic.Int64              // requests that the module has
 	maxOpen   int64
 	bodies    atomic.Int64 // bytes of bodies that are held
 	maxBodies int64
@@ -65,12 +66,9 @@
 }
 
 // ready tells whether the node can serve.
-func (f *frontend) ready() bool { return !f.draining.Load() && f.loop.able.Load() }
+func (f *frontend) ready() bool { return f.drainEnd.Load() == nil && f.loop.able.Load() }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	class, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if class == "health" && (rest == "ready" || rest == "live") && r.ContentLength == 0 {
 		if rest == "ready" && !f.ready() {
@@ -104,11 +102,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer f.open.Add(-1)
-	if f.open.Add(1) > f.maxOpen {
+	if f.open.Add(1) > f.maxOpen || f.closing.Load() {
 		f.write(w, answer{status: http.StatusServiceUnavailable, holdOff: busyHoldOff})
 		return
 	}
 	req := newRequest(r, class, patience, body)
+	if end := f.drainEnd.Load(); end != nil && req.deadline.After(*end) {
+		req.deadline = *end
+	}
 	if !f.loop.post(func() { f.loop.arrive(req) }) {
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
@@ -245,7 +246,7 @@
 			h["Connection"] = closing
 		}
 	}
-	if f.draining.Load() { // it may have begun while the request was out
+	if f.closing.Load() { // it may have begun while the request was out
 		h.Set("Connection", "close")
 	}
 	if a.status == http.StatusConflict {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,8 +19,14 @@
 	clientPart = 0.6
 	bodyPart   = 1.0 / 8
 
-	drainAccept = 600 * time.Millisecond // connections come for 0.4 s after SIGTERM; the rest is for the accept queue
-	drainExtra  = 300 * time.Millisecond // beyond the longest deadline, to write the last answers
+	// SIGTERM: connections come for 0.4 s more; the rest is for the accept queue. Clients go on using those that
+	// they have, and SIGKILL comes killAfter after the longest deadline, which counts for 3 s at most.
+	drainAccept  = 600 * time.Millisecond
+	drainLongest = 3 * time.Second
+	killAfter    = 700 * time.Millisecond
+	killMargin   = 200 * time.Millisecond // kept from that: the last answers have left by then
+	lastCall     = 300 * time.Millisecond // before that end no more requests are taken
+	drainLook    = 20 * time.Millisecond
 )
 
 // Run serves until ctx ends and what has been taken by then is answered. On reload it reads the configuration again.
@@ -64,7 +70,7 @@
 	case err = <-served:
 		err = fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
-		f.drain(srv)
+		f.drain(srv, door)
 	}
 	stop()
 	srv.Close()
@@ -73,18 +79,25 @@
 }
 
 // drain lets the node go. Clients still come for a moment, and what the kernel has accepted counts as taken: so
-// the listener stays open for that long, and each answer closes its connection.
-func (f *frontend) drain(srv *http.Server) {
-	f.draining.Store(true)
+// the listener stays open for that long. On the connections that they have they are served for as long as an answer
+// can come before the node is killed: the others of its zone may be few, and have its clients soon enough.
+func (f *frontend) drain(srv *http.Server, door *admission) {
+	longest := time.Duration(0)
+	for _, c := range f.classes {
+		longest = max(longest, c.Deadline)
+	}
+	end := time.Now().Add(min(longest, drainLongest) + killAfter - killMargin)
+	f.drainEnd.Store(&end) // by then all is answered
 	f.log.Info("draining")
 	time.Sleep(drainAccept)
-	longest := drainExtra
-	for _, c := range f.classes {
-		longest = max(longest, c.Deadline+drainExtra)
+	door.TCPListener.Close()
+	for time.Until(end) > lastCall && door.held() > 0 {
+		time.Sleep(drainLook)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest)
+	f.closing.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), longest+killAfter)
 	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		f.log.Warn("drained with requests held", "err", err)
 	}
 	f.log.Info("drained")
