--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,8 +24,10 @@
 )
 
 const (
-	bodyLimit   = 64 << 10      // bytes of a body, either way
-	answerLimit = 4 * bodyLimit // with its header and framing
+	bodyLimit   = 64 << 10 // bytes of a request's body
+	headLimit   = 64 << 10 // of an answer's header, with what interim answers come before it
+	answerLimit = 1 << 20  // of an answer's body
+	largePart   = 1.0 / 8  // of the memory: bodies over bodyLimit that are being read at once
 	sweepEvery  = time.Second
 	idlePart    = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
 	probeWait   = 500 * time.Millisecond
@@ -39,6 +42,8 @@
 	mu             sync.Mutex
 	hosts          map[decide.ServerID]*host
 	open, limit    int // connections, also those being made
+	large          atomic.Int64
+	largeLimit     int64
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	log            *slog.Logger
@@ -66,7 +71,7 @@
 	if idle <= 0 {
 		idle = time.Minute
 	}
-	return &backends{hosts: map[decide.ServerID]*host{}, limit: limit, log: log,
+	return &backends{hosts: map[decide.ServerID]*host{}, limit: limit, log: log, largeLimit: int64(largePart * float64(c.Limits.MemoryMB<<20)),
 		connectTimeout: c.Settings.ConnectTimeout, idleLimit: idle}
 }
 
@@ -355,7 +360,7 @@
 	}
 	c.SetDeadline(x.deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	r, keep := roundTrip(c, x)
+	r, keep := b.roundTrip(c, x)
 	stopped := stop()
 	switch {
 	case r.err == nil:
@@ -377,10 +382,13 @@
 
 const httpStart = "HTTP/1."
 
-var errTruncated = errors.New("the answer's end can't be known")
+var (
+	errTruncated = errors.New("the answer's end can't be known")
+	errTooLarge  = errors.New("the answer is too large")
+)
 
 // roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
-func roundTrip(c *conn, x *exchange) (r result, keep bool) {
+func (b *backends) roundTrip(c *conn, x *exchange) (r result, keep bool) {
 	left := max(0, time.Until(x.deadline))
 	header := x.header.Clone()
 	if header == nil {
@@ -402,7 +410,7 @@
 	if _, err := c.Write(text.Bytes()); err != nil {
 		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
 	}
-	c.left.N = answerLimit // http.ReadResponse itself takes a header of any size
+	c.left.N = headLimit // http.ReadResponse itself takes a header of any size
 	resp, err := http.ReadResponse(c.r, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(c.r, req) // that was an interim answer
@@ -414,12 +422,19 @@
 		return result{code: decide.Reset, err: err}, false
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bodyLimit+1))
+	if n := resp.ContentLength; n > bodyLimit {
+		defer b.large.Add(-n)
+		if held := b.large.Add(n); n > answerLimit || held > b.largeLimit {
+			return result{code: decide.Reset, err: errTooLarge}, false
+		}
+	}
+	c.left.N += answerLimit + headLimit // and chunks' framing
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
 	switch {
 	case err != nil:
 		return result{code: decide.Reset, err: err}, false
-	case len(body) > bodyLimit:
-		return result{code: decide.Reset, err: errors.New("the answer is too large")}, false
+	case len(body) > answerLimit:
+		return result{code: decide.Reset, err: errTooLarge}, false
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		// A body that ends with its connection looks whole when the backend has died within it.
 		return result{code: decide.Reset, err: errTruncated}, false
