--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,6 +19,8 @@
 	sparsePart  = 0.6                    // the same for sparse nodes, whose delays are means of the fleet's
 	sparseQueue = 2.0                    // requests ahead of one's own, at most: below what turns servers slow
 	queueFactor = 1.8                    // of the uncrowded latency: long queues harm where crowds slow servers
+	roomyPart   = 0.7                    // of the delay that aims allow: where that is long, so may queues be,
+	roomyFactor = 4.0                    // up to this multiple of the uncrowded latency
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
@@ -152,7 +154,7 @@
 		return 2 * leastWindow / float64(m.set.Nodes)
 	}
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
-	want := math.Min(queueFactor*m.base, m.aimed)
+	want := math.Min(math.Max(queueFactor*m.base, math.Min(roomyFactor*m.base, roomyPart*m.aimed)), m.aimed)
 	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
 	return math.Max(h, leastWindow/float64(m.set.Nodes))
 }
