--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,7 +19,7 @@
 	sparsePart  = 0.6                    // the same for sparse nodes, whose delays are means of the fleet's
 	sparseQueue = 2.0                    // requests ahead of one's own, at most: below what turns servers slow
 	queueFactor = 1.8                    // of the uncrowded latency: long queues harm where crowds slow servers
-	roomyPart   = 0.7                    // of the delay that aims allow: where that is long, so may queues be,
+	roomyPart   = 0.6                    // of the delay that aims allow: where that is long, so may queues be,
 	roomyFactor = 4.0                    // up to this multiple of the uncrowded latency
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
