Decide at a cost that does not grow with the fleet; H bounded by aims alone

H was held to 4 times the uncrowded latency, so that servers which answer in 0.2 ms had room for two requests, whatever the aims.

Servers drawn are looked at again before they are sent to. The further room of H is a part of the delay that aims allow and no multiple of the latency. AttemptEnded.Own and Refuse.Reason: the node's own part of a delay is no server's, and has the same hysteresis for itself; the front does not fill it in yet.

--- a/decide/api.go
+++ b/decide/api.go
@@ -231,6 +231,7 @@
 		Server  ServerID
 		Over    bool // the request has had its final answer
 		Elapsed time.Duration
+		Own     time.Duration // part of Elapsed that passed in the node itself: its run queue, its core
 		Code    OutcomeCode
 		Report  *Report // nil if none came
 	}
@@ -271,6 +272,16 @@
 // Action is something the caller is to do. The types below are all there are.
 type Action interface{ action() }
 
+// Reason says whose limit a refusal comes from.
+type Reason int
+
+const (
+	// ByServers: no server may take it: all are crowded, blocking, suspect or cold, or have failed it.
+	ByServers Reason = iota
+	// ByNode: the node itself is short of CPU.
+	ByNode
+)
+
 // Actions.
 type (
 	// Send starts an attempt; a request's attempts count 0, 1, 2 in this order.
@@ -283,6 +294,7 @@
 	Refuse struct {
 		ID      RequestID
 		HoldOff time.Duration // how long the client should wait; 0: no advice
+		Reason  Reason
 	}
 	// Fail is a final answer that promises nothing.
 	Fail struct{ ID RequestID }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,8 +5,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
-	"sort"
 	"time"
 )
 
@@ -19,8 +17,8 @@
 	sparsePart  = 0.6                    // the same for sparse nodes, whose delays are means of the fleet's
 	sparseQueue = 2.0                    // requests ahead of one's own, at most: below what turns servers slow
 	queueFactor = 1.8                    // of the uncrowded latency: long queues harm where crowds slow servers
-	roomyPart   = 0.6                    // of the delay that aims allow: where that is long, so may queues be,
-	roomyFactor = 4.0                    // up to this multiple of the uncrowded latency
+	roomyPart   = 0.6                    // of the delay that aims allow: queues may be so long, as a part
+	sparseRoom  = 1.0 / 3                // of the aims' and not a multiple of the latency; for sparse nodes
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
@@ -47,6 +45,13 @@
 	subsetTime  = 2.0                    // s; a subset's server is tried so often: news before a trouble is old
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
+	ownTau      = 1.0                    // s; smoothing of the node's own delay, and its memory without answers
+	scanMost    = 32                     // servers looked at for a further attempt: its first ones are barred
+	drawMost    = 32                     // draws that may find a server in another mode than it was left in
+	roundTicks  = 20                     // ticks in which every server is looked at once
+	sweepLeast  = 256                    // servers looked at in a tick, where there are so many
+	sweepMost   = 1024
+	atOnce      = 512 // servers: a subset up to this size follows a change of the list at once
 )
 
 // NextMode is the paper's hysteresis, at its exact edges.
@@ -76,7 +81,7 @@
 
 // Handle takes an event and returns what is to be done about it, in order.
 func (m *Module) Handle(now Time, e Event) []Action {
-	m.now, m.out = now, nil
+	m.now, m.out = now, m.out[:0]
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)} // the only timer in use
 	if !m.ticking {
 		m.ticking, m.periodAt, m.askWait, m.askAt = true, now, askFirst, now+m.jitter(askFirst)
@@ -93,7 +98,7 @@
 	case StreamStarted:
 		if r := m.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
 			r.started = true
-			m.learn(r.attempts[e.Attempt].server, r.class, e.Elapsed)
+			m.learn(r.attempts[e.Attempt].server, r.class, e.Elapsed, 0)
 		}
 	case RequestAbandoned:
 		if r := m.requests[e.ID]; r != nil && !r.done {
@@ -106,23 +111,17 @@
 	return m.out
 }
 
-// survey renews what the thresholds need of the whole fleet.
-func (m *Module) survey() {
-	rate, count, own, all := 0.0, 0.0, 0.0, 0.0
-	for _, s := range m.near {
-		if !s.suspect && !s.cold {
-			rate, count = rate+m.rateOf(s), count+1
-		}
-		if s.report > 0 && m.now-s.reportAt < 2*validity {
-			own, all = own+s.n, all+s.report
+// survey renews what the thresholds need, of the fleet once a round of the sweep is complete.
+func (m *Module) survey(complete bool) {
+	grow := 1 + tickEvery.Seconds()/memoryTau
+	if w := m.sweep; complete {
+		if w.all > 0 {
+			m.share += (w.own/w.all - m.share) * math.Min(1, tickEvery.Seconds()*m.round()/rateTau)
 		}
+		m.fleetRate, m.evenRate = w.rate/math.Max(1, w.count), w.rate/float64(max(1, len(m.near)))
+		m.learned = w.rate > 0 && m.answers >= 2*float64(len(m.near))
+		m.sweep = sweep{}
 	}
-	if all > 0 {
-		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
-	}
-	m.fleetRate, m.evenRate = rate/math.Max(1, count), rate/float64(max(1, len(m.near)))
-	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
-	grow := 1 + tickEvery.Seconds()/memoryTau
 	if m.least *= grow; m.least == 0 || m.answers >= 1/classGain && m.mean < m.least*(1-baseNoise) {
 		m.least = m.mean / (1 - baseNoise) // the least of a noisy mean is below its true value
 	}
@@ -154,7 +153,7 @@
 		return 2 * leastWindow / float64(m.set.Nodes)
 	}
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
-	want := math.Min(math.Max(queueFactor*m.base, math.Min(roomyFactor*m.base, roomyPart*m.aimed)), m.aimed)
+	want := math.Min(math.Max(queueFactor*m.base, roomyPart*m.aimed), m.aimed)
 	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
 	return math.Max(h, leastWindow/float64(m.set.Nodes))
 }
@@ -164,7 +163,11 @@
 // requests that a server reports, or those ahead of one's own by its delay in uncrowded ones; it lapses.
 func (m *Module) crowd(s *server) (n, h float64) {
 	if !m.sparse() {
-		return s.n, math.Floor(m.high(s) + s.dither)
+		n = s.n
+		if own := m.ownDelay(); own > 0 {
+			n *= m.mean / (m.mean + own) // by Little's law the rest waits in this node, which is no server's doing
+		}
+		return n, math.Floor(m.high(s) + m.dither(s))
 	}
 	if m.least == 0 || m.aimed == 0 {
 		return s.n, 1
@@ -178,7 +181,7 @@
 	if s.unanswered > 0 && s.n > 0 { // an attempt that is still out has taken at least as long as it has been
 		n = math.Max(n, (m.now-s.muteSince).Seconds()/unit-1)
 	}
-	return n, math.Max(1, math.Min(sparseQueue, aimed/unit))
+	return n, math.Max(1, math.Min(math.Max(sparseQueue, sparseRoom*aimed/unit), aimed/unit))
 }
 
 func (m *Module) sparse() bool { return m.rate*validity.Seconds() < float64(len(m.near)) }
@@ -186,7 +189,9 @@
 // modeOf updates and gives a server's mode.
 func (m *Module) modeOf(s *server) Mode {
 	n, h := m.crowd(s)
-	s.mode = NextMode(s.mode, n, lowPart*h, h, highPart*h+1)
+	for range 2 { // from blocking to normal there are two steps
+		s.mode = NextMode(s.mode, n, lowPart*h, h, highPart*h+1)
+	}
 	if m.now < s.imposedUntil && s.imposed > s.mode {
 		return s.imposed
 	}
@@ -215,16 +220,38 @@
 func (m *Module) recompute() {
 	q := 0.0
 	if n := m.n1 + m.n2; n > 0 {
-		q = (m.n2 + m.n1*m.fill/m.ticks) / n
+		q = (m.n2 + m.n1*m.fill/math.Max(1, m.visits)) / n
 	}
 	m.q1, m.q2 = ShedSplit(q, m.n1, m.n2)
-	m.n1, m.n2, m.fill, m.ticks, m.periodAt = mixMemory*m.n1, mixMemory*m.n2, 0, 0, m.now
+	m.recomputeOwn()
+	m.n1, m.n2, m.fill, m.visits, m.periodAt = mixMemory*m.n1, mixMemory*m.n2, 0, 0, m.now
+	m.period++
 	m.choose()
-	for _, s := range m.near {
-		s.dither = m.random()
+}
+
+// recomputeOwn holds the node itself to the same hysteresis, by its own part of the delay in place of n: H is
+// what the tightest aim allows for all of the delay. The drop fraction grows from L to R, so that a node that
+// is short of CPU sheds what it must and not all that is cheap.
+func (m *Module) recomputeOwn() {
+	h, own, was := math.Inf(1), 1e3*m.ownDelay(), m.ownMode // ms, in place of requests
+	for _, c := range m.order {
+		if c.count > 0 && c.Aim > 0 {
+			h = math.Min(h, 1e3*aimPart*c.Aim.Seconds())
+		}
+	}
+	m.ownMode, m.ownQ = NextMode(was, own, lowPart*h, h, highPart*h), 0
+	if m.ownMode != Normal {
+		m.ownQ = math.Min(1, math.Max(0, (own-lowPart*h)/((highPart-lowPart)*h)))
+	}
+	if was != m.ownMode && m.mayNote() {
+		m.do(Log{fmt.Sprintf("this node is %s: its own part of the delay is %.0f ms, %.0f ms allowed",
+			[]string{"well", "short of CPU", "far short of CPU"}[m.ownMode], own, h)})
 	}
 }
 
+// ownDelay lapses with no answers.
+func (m *Module) ownDelay() float64 { return m.own * decay(m.now-m.ownAt, ownTau) }
+
 // choose picks the subset of servers that the ordinary path uses: one of many nodes that talked to all would
 // know none, and its connections would fill their tables. All nodes have the same ring of servers and start
 // at even distances on it. Suspects are not made up for: all would open connections to the rest at once.
@@ -235,12 +262,65 @@
 	if want > m.size || want < m.size/2 {
 		m.size = math.Max(want, subsetLeast) // else unchanged: a new server costs a connection
 	}
+	n := min(len(m.ring), int(m.size))
+	if !m.stale && n == len(m.near) {
+		return
+	}
 	start := int(math.Mod((float64(m.set.Self)+0.5)*math.Phi, 1) * float64(len(m.ring)))
-	m.near, m.choices = m.near[:0], m.choices+1
-	for i := 0; i < min(len(m.ring), int(m.size)); i++ {
+	m.choices++
+	old := m.near
+	next := make([]*server, 0, n)
+	for i := range n {
 		s := m.ring[(start+i)%len(m.ring)]
 		s.chosen = m.choices
-		m.near = append(m.near, s)
+		next = append(next, s)
+	}
+	for _, s := range old {
+		if s.near && s.chosen != m.choices {
+			s.near = false
+			m.place(s)
+		}
+	}
+	if m.whole = n == len(m.ring); m.whole {
+		next = m.ring
+	}
+	m.near, m.stale = next, false
+	for _, s := range m.near {
+		if !s.near {
+			s.near = true
+			m.place(s)
+		}
+	}
+}
+
+// place puts a server into the pool where pick finds it, or where it waits for what brings it back.
+func (m *Module) place(s *server) {
+	switch {
+	case !s.near:
+		leave(s, byMode)
+		unset(s)
+	case s.suspect:
+		leave(s, byMode)
+		m.trials.set(s, s.trialAt)
+	case m.paced(s):
+		leave(s, byMode)
+		wait := time.Duration((1 - s.tokens) / math.Max(m.coldRate(s), 1e-9) * float64(time.Second))
+		m.wake.set(s, m.now+min(max(wait, time.Millisecond), validity))
+	default:
+		m.pools[m.modeOf(s)].put(s)
+		if m.now < s.imposedUntil {
+			m.wake.set(s, s.imposedUntil)
+		} else {
+			unset(s)
+		}
+	}
+}
+
+// awake places the servers whose time has come.
+func (m *Module) awake() {
+	for s := m.wake.due(m.now); s != nil; s = m.wake.due(m.now) {
+		unset(s)
+		m.place(s)
 	}
 }
 
@@ -255,7 +335,11 @@
 }
 
 // learn takes the latency of an answer. Means are plain at first: short requests answer first.
-func (m *Module) learn(s *server, c *class, took time.Duration) {
+func (m *Module) learn(s *server, c *class, took, own time.Duration) {
+	own = min(max(0, own), took)
+	gain := 1 - decay(m.now-m.ownAt, ownTau)
+	m.own, m.ownAt = m.own+math.Max(gain, classGain/10)*(own.Seconds()-m.own), m.now
+	took -= own
 	t := math.Max(took.Seconds(), 1e-6)
 	m.answers++
 	c.count++
@@ -290,7 +374,7 @@
 		s.rate, s.rateAt, s.unanswered = s.rate*decay(m.now-s.rateAt, rateTau)+1/rateTau, m.now, 0
 		s.backoff = 0
 		if !r.started {
-			m.learn(s, r.class, e.Elapsed)
+			m.learn(s, r.class, e.Elapsed, e.Own)
 		}
 		if s.strikes = 0; s.suspect {
 			s.suspect = false
@@ -310,18 +394,17 @@
 func (m *Module) accuse(s *server, why string) {
 	if !s.suspect {
 		s.suspect, s.trialWait, s.trialAt = true, trialFirst, m.now+m.jitter(trialFirst)
+		m.place(s)
 		m.note(s, fmt.Sprintf("suspect: %s; only trial requests", why))
 	}
 }
 
 // dueTrial finds a suspect whose turn it is, for a request that may be repeated.
 func (m *Module) dueTrial(r *request) *server {
-	for _, s := range m.near {
-		if r.class.Effect != Unsafe && s.suspect && m.now >= s.trialAt && m.maySend(r, s) {
-			return s
-		}
+	if r.class.Effect == Unsafe {
+		return nil
 	}
-	return nil
+	return m.trials.due(m.now)
 }
 
 // startCold gives a cold server's budget a random beginning: a first request from every node at once would be
@@ -338,10 +421,15 @@
 	if s.cold = s.cold && warm < 1; !s.cold {
 		return false
 	}
-	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
-	rate := part * math.Max(m.evenRate, coldStart/float64(m.set.Nodes))
-	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
-	return s.tokens < 1 || s.chosen < m.choices
+	s.tokens, s.tokensAt = math.Min(2, s.tokens+m.coldRate(s)*(m.now-s.tokensAt).Seconds()), m.now
+	return s.tokens < 1 || !s.near
+}
+
+// coldRate is what this node may send a cold server each second.
+func (m *Module) coldRate(s *server) float64 {
+	warm := math.Max(0, (m.now-s.coldSince).Seconds()/math.Max(m.set.ColdTime.Seconds(), 1e-9))
+	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Min(1, warm)
+	return part * math.Max(m.evenRate, coldStart/float64(m.set.Nodes))
 }
 
 // maySend holds every rule on sending; each send passes it.
@@ -375,6 +463,9 @@
 	if s == nil || !m.maySend(r, s) {
 		return false
 	}
+	if r.attempts == nil {
+		r.attempts = r.first[:0]
+	}
 	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true})
 	r.out++
 	s.n++
@@ -382,19 +473,20 @@
 	if s.unanswered++; s.unanswered == 1 {
 		s.muteSince = m.now
 	}
+	m.place(s)
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
 	return true
 }
 
 // finish gives the final answer where no server did: a refusal if the rules allow one. Its hold-off brings
 // the client back while an answer is still worth something, else as late as it may.
-func (m *Module) finish(r *request) {
+func (m *Module) finish(r *request, why Reason) {
 	wait := m.jitter(time.Duration(holdPart * float64(r.class.Aim)))
 	wait = min(wait, m.set.MaxHoldOff)
 	if !m.mayRefuse(r) {
 		m.do(Fail{ID: r.id})
 	} else {
-		m.do(Refuse{ID: r.id, HoldOff: wait})
+		m.do(Refuse{ID: r.id, HoldOff: wait, Reason: why})
 	}
 	m.close(r)
 }
@@ -435,38 +527,123 @@
 	if s := m.dueTrial(r); m.send(r, s, min(max(m.set.ConnectTimeout, wait), c.Aim/3)) {
 		s.trialWait = min(2*s.trialWait, trialLast)
 		r.trial, s.trialAt = true, m.now+m.jitter(s.trialWait)
+		m.place(s)
+		return
+	}
+	if m.ownQ > 0 && m.shed(r, m.ownQ) {
+		m.finish(r, ByNode)
 		return
 	}
-	s, mode := m.pick(m.near, r)
+	s, mode := m.pick(r)
 	if mode == Overloaded && (r.priority && m.random() < m.q1 || !r.priority && m.random() < m.q2) {
 		s = nil
 	}
 	if !m.send(r, s, r.deadline) {
-		m.finish(r)
+		m.finish(r, ByServers)
+	}
+}
+
+// shed draws whether a request goes for an overall drop fraction of q, others before priority ones.
+func (m *Module) shed(r *request, q float64) bool {
+	q1, q2 := ShedSplit(q, m.n1, m.n2)
+	if r.priority {
+		q2 = q1
 	}
+	return m.random() < q2
 }
 
 // pick is the ordinary path: two random normal servers, else overloaded ones; the lower expected delay wins.
-func (m *Module) pick(list []*server, r *request) (*server, Mode) {
-	var pools [2][]*server
-	for _, s := range list {
-		if s.suspect || !m.maySend(r, s) || m.paced(s) {
+func (m *Module) pick(r *request) (*server, Mode) {
+	m.awake()
+	mode := Normal
+	for range drawMost {
+		a, b := m.draw(m.pools[mode].list, r)
+		if a == nil {
+			if mode++; mode == Blocking {
+				return nil, Blocking
+			}
 			continue
 		}
-		if mode := m.modeOf(s); mode != Blocking {
-			pools[mode] = append(pools[mode], s)
+		// What has changed since they were last looked at shows now.
+		m.place(a)
+		m.place(b)
+		switch p := &m.pools[mode]; {
+		case a.in[byMode] == p && b.in[byMode] == p:
+			return m.sooner(a, b), mode
+		case a.in[byMode] == &m.pools[Normal] || b.in[byMode] == &m.pools[Normal]:
+			mode = Normal
+		}
+	}
+	a, b := m.draw(m.pools[Overloaded].list, r) // they change faster than they can be drawn
+	if a == nil {
+		return nil, Blocking
+	}
+	return m.sooner(a, b), Overloaded
+}
+
+// sooner is the one with the lower expected delay.
+func (m *Module) sooner(a, b *server) *server {
+	if (b.n+1)*m.latencyOf(b) < (a.n+1)*m.latencyOf(a) {
+		return b
+	}
+	return a
+}
+
+// draw gives two of a list, which may be the same where it has no more. A request's first attempt may go to
+// any of them; a further one may not, and as few are barred, a sample of a long list has others.
+func (m *Module) draw(list []*server, r *request) (a, b *server) {
+	if len(r.attempts) > 0 {
+		list = m.filter(list, func(s *server) bool { return m.maySend(r, s) })
+	}
+	if len(list) == 0 {
+		return nil, nil
+	}
+	i := int(m.random() * float64(len(list)))
+	return list[i], list[(i+1+int(m.random()*float64(len(list)-1)))%len(list)]
+}
+
+// filter gives those of a list that pass, or of a sample of it if it is long. What it gives is good until it
+// is called again.
+func (m *Module) filter(list []*server, pass func(*server) bool) []*server {
+	m.drawn = m.drawn[:0]
+	start := 0
+	if len(list) > scanMost {
+		start = int(m.random() * float64(len(list)))
+	}
+	for i := range min(len(list), scanMost) {
+		if s := list[(start+i)%len(list)]; pass(s) {
+			m.drawn = append(m.drawn, s)
 		}
 	}
-	for mode, pool := range pools {
-		if len(pool) == 0 {
+	return m.drawn
+}
+
+// pickBound picks for a request whose key binds it to a group of servers: those in the subset go first.
+func (m *Module) pickBound(r *request) (*server, Mode) {
+	list := []*server(m.ring)
+	for i := range r.attempts {
+		p := (*pool)(nil)
+		if a := &r.attempts[i]; a.mayRun && r.class.KeyScope == ScopeCell {
+			p = m.cells[a.server.Cell]
+		} else if a.mayRun && r.class.KeyScope == ScopeZone {
+			p = m.zones[a.server.Zone]
+		} else {
 			continue
 		}
-		i := int(m.random() * float64(len(pool)))
-		best, other := pool[i], pool[(i+1+int(m.random()*float64(len(pool)-1)))%len(pool)]
-		if (other.n+1)*m.latencyOf(other) < (best.n+1)*m.latencyOf(best) {
-			best = other
+		if p == nil {
+			return nil, Blocking
+		}
+		list = p.list
+	}
+	for _, near := range []bool{true, false} {
+		for mode := Normal; mode < Blocking; mode++ {
+			a, b := m.draw(m.filter(list, func(s *server) bool {
+				return (s.near || !near) && !s.suspect && m.maySend(r, s) && !m.paced(s) && m.modeOf(s) == mode
+			}), r)
+			if a != nil {
+				return m.sooner(a, b), mode
+			}
 		}
-		return best, Mode(mode)
 	}
 	return nil, Blocking
 }
@@ -483,6 +660,7 @@
 	m.forget(a.server)
 	m.reported(a.server, e.Report)
 	m.judge(a.server, r, e)
+	m.place(a.server)
 	switch {
 	case r.done && r.out == 0:
 		delete(m.requests, r.id)
@@ -497,9 +675,11 @@
 func (m *Module) again(r *request, costly bool) {
 	worthless := r.class.LateWorth == 0 && r.class.Aim > 0 && m.now-r.arrived >= r.class.Aim
 	if !worthless && (m.budget >= 1 || !costly) {
-		s, mode := m.pick(m.near, r)
-		if s == nil && !m.mayRefuse(r) {
-			s, mode = m.pick(m.list, r) // its key may bind it to servers outside the subset
+		s, mode := (*server)(nil), Blocking
+		if m.mayRefuse(r) {
+			s, mode = m.pick(r)
+		} else if r.class.Effect == Keyed {
+			s, mode = m.pickBound(r) // perhaps to servers outside the subset
 		}
 		if (mode == Normal || r.priority) && m.send(r, s, r.deadline) {
 			if costly {
@@ -508,13 +688,54 @@
 			return
 		}
 	}
-	m.finish(r)
+	m.finish(r, ByServers)
+}
+
+// round is the number of ticks in which the sweep looks at every server of the subset.
+func (m *Module) round() float64 {
+	return math.Max(1, math.Ceil(float64(len(m.near))/float64(m.stride())))
+}
+
+func (m *Module) stride() int { return min(max(sweepLeast, len(m.near)/roundTicks), sweepMost) }
+
+// look goes on with the sweep over the subset: what no event of a server brings about is noticed here. It
+// tells whether every server has been looked at.
+func (m *Module) look() bool {
+	for range min(m.stride(), len(m.near)) {
+		if m.cursor >= len(m.near) {
+			break
+		}
+		s := m.near[m.cursor]
+		m.cursor++
+		if !s.near {
+			continue
+		}
+		if w := &m.sweep; !s.suspect && !s.cold {
+			w.rate, w.count = w.rate+m.rateOf(s), w.count+1
+		}
+		if s.report > 0 && m.now-s.reportAt < 2*validity {
+			m.sweep.own, m.sweep.all = m.sweep.own+s.n, m.sweep.all+s.report
+		}
+	}
+	if m.cursor < len(m.near) {
+		return false
+	}
+	m.cursor = 0
+	return true
 }
 
 func (m *Module) tick() {
-	m.survey()
-	fill, count := 0.0, 1e-9
-	for _, s := range m.near {
+	if m.cursor > len(m.near) {
+		m.cursor = 0
+	}
+	from := m.cursor
+	complete := m.look()
+	m.survey(complete)
+	m.awake()
+	for _, s := range m.near[from:min(len(m.near), from+m.stride())] {
+		if !s.near {
+			continue
+		}
 		// Silence: several sends, no answer at all, for a time in which the fleet's mean request is long done.
 		if s.unanswered >= suspectAt && m.mean > 0 &&
 			(m.now-s.muteSince).Seconds() > muteFactor*math.Max(m.mean, m.latencyOf(s)) {
@@ -523,16 +744,16 @@
 		if s.suspect {
 			continue
 		}
-		if count++; m.modeOf(s) != Normal {
+		m.place(s)
+		if m.visits++; m.modeOf(s) != Normal {
 			n, h := m.crowd(s)
-			fill += math.Min(1, math.Max(0, (n-h)/(highPart*h+1-h)))
+			m.fill += math.Min(1, math.Max(0, (n-h)/(highPart*h+1-h)))
 		}
 	}
-	m.fill, m.ticks = m.fill+fill/count, m.ticks+1
 	open := m.open[:0]
 	for _, r := range m.open {
 		if !r.done && !r.started && m.now >= r.deadline {
-			m.finish(r) // guards against an outcome that never comes
+			m.finish(r, ByServers) // guards against an outcome that never comes
 		}
 		if !r.done {
 			open = append(open, r)
@@ -556,29 +777,83 @@
 		m.subscribed, m.asking, m.askWait = true, false, askFirst
 	}
 	if e.Kind != ListChanges {
-		for _, s := range m.list {
-			s.State = Gone
-		}
+		m.lists++
 	}
+	m.touched = m.touched[:0]
+	named := 0
 	for _, n := range e.Entries {
 		s := m.serverOf(n.ID)
-
+		if s.seen != m.lists {
+			s.seen, named = m.lists, named+1
+		}
+		if s.Server == n {
+			continue // nothing that it changes is disturbed
+		}
 		if n.State == Ready && n.StartedAt > s.StartedAt { // a start: nothing learned of an older process holds
 			s.suspect, s.strikes, s.unanswered, s.imposedUntil = false, 0, 0, m.now
 			m.startCold(s, n.StartedAt)
 		}
-		s.Server = n
+		m.enter(s, n)
+	}
+	if e.Kind != ListChanges && named < len(m.known) {
+		for _, s := range m.known {
+			if s.seen != m.lists {
+				gone := s.Server
+				gone.State = Gone
+				m.enter(s, gone)
+			}
+		}
 	}
-	m.list = m.list[:0]
-	for _, s := range m.known {
-		if s.State != Gone {
-			m.list = append(m.list, s)
+	var left, come []*server
+	for _, s := range m.touched {
+		s.touched = false
+		switch {
+		case s.was && !s.ringed:
+			left = append(left, s)
+		case s.ringed && !s.was:
+			come = append(come, s)
 		}
-		m.forget(s)
 	}
-	sort.Slice(m.list, func(i, j int) bool { return m.list[i].place < m.list[j].place })
-	m.ring = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return s.State != Ready })
-	m.choose()
+	if len(m.touched) == 0 {
+		return
+	}
+	m.ring, m.stale = m.ring.change(left, come), true
+	if m.whole {
+		m.near = m.ring // whose array may have changed
+	}
+	switch {
+	case m.whole && len(m.ring) <= int(m.size):
+		m.stale = false
+		for _, s := range m.touched {
+			if s.near = s.ringed; s.near {
+				m.place(s)
+			}
+		}
+	case len(m.near) <= atOnce:
+		m.choose()
+	} // else at the next recompute: what has left is out of the pools already
+	clear(m.touched)
+}
+
+// enter takes over what the list says of a server.
+func (m *Module) enter(s *server, n Server) {
+	if !s.touched {
+		s.touched, s.was = true, s.ringed
+		m.touched = append(m.touched, s)
+	}
+	if s.ringed && (s.Cell != n.Cell || s.Zone != n.Zone || n.State != Ready) {
+		ungroup(m.cells, s.Cell, s, byCell)
+		ungroup(m.zones, s.Zone, s, byZone)
+	}
+	s.Server = n
+	if s.ringed = n.State == Ready; s.ringed {
+		group(m.cells, n.Cell, byCell).put(s)
+		group(m.zones, n.Zone, byZone).put(s)
+	} else {
+		s.near = false
+	}
+	m.place(s)
+	m.forget(s)
 }
 
 // ask keeps a subscription where the list must be asked for: spread at the start, backing off after
--- a/decide/state.go
+++ b/decide/state.go
@@ -22,20 +22,27 @@
 	mode, told, imposed Mode // by own count; by reports; by a full answer or a report, until it lapses
 	imposedUntil        Time
 	n, report           float64 // own attempts in flight; requests it last reported to hold
-	dither              float64 // in [0,1), drawn each period
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	latencyAt, rateAt   Time
 	since, reportAt     Time // first listed; last report
 	strikes, unanswered int  // failures since the last success; sends since the last answer
 	muteSince           Time // the first of those sends
 	suspect, cold       bool
-	chosen              int // the last choice of a subset that it was in
+	near, ringed        bool // in the subset; in the ring, and so ready
+	touched, was        bool // by the list that is being taken in; in the ring before it
+	chosen, seen        int  // the last choice of a subset, and the last whole list, that it was in
 	trialAt, coldSince  Time
 	trialWait, backoff  time.Duration // backoff: added to a block after full answers in a row
 	tokens              float64       // sends that its budget allows while cold
 	tokensAt            Time
 	quietUntil          Time   // no log line about it until then
 	place               uint64 // in the order of servers that all nodes share
+
+	in        [groupings]*pool // the pool it is in by each grouping; its number there
+	slot      [groupings]int
+	alarms    *alarms // the heap that it is in, if it is
+	alarmSlot int
+	alarmAt   Time
 }
 
 type class struct {
@@ -56,6 +63,7 @@
 	class                          *class
 	arrived, deadline              Time
 	attempts                       []attempt
+	first                          [1]attempt // where the usual single attempt is kept
 	out                            int
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
 }
@@ -76,7 +84,18 @@
 	other              *class
 	tenants            map[string]*tenant
 	known              map[ServerID]*server
-	list, ring, near   []*server // those not gone, in an order that all nodes share; the ready ones; the subset in use
+	ring               ring      // the ready servers
+	near               []*server // the subset in use; where all are, the ring itself
+	whole              bool      // that it is
+	stale              bool      // the ring has changed since the subset was chosen
+	cells              map[int]*pool
+	zones              map[string]*pool
+	pools              [Blocking + 1]pool // the subset by mode, but for suspects and cold servers with no token
+	wake, trials       alarms             // servers whose place changes by time alone; suspects by their next trial
+	drawn, touched     []*server          // scratch; servers that the list now being taken in has changed
+	lists              int                // whole lists so far
+	cursor             int                // where in the subset the sweep is
+	sweep              sweep
 	requests           map[RequestID]*request
 	open               []*request // in order of arrival
 	ticking, learned   bool
@@ -93,7 +112,14 @@
 	evenRate           float64 // the same spread over the whole subset, suspects and cold ones too
 	share              float64 // this node's part of all requests at servers
 	n1, n2, q1, q2     float64 // priority and other arrivals of this period; drop probabilities
-	fill, ticks        float64 // sum of how far the fleet was above H, over this period's ticks
+	fill, visits       float64 // sum of how far servers were above H, over this period's looks at servers
+	period, salt       uint64  // number of this period; the node's own number
+	own                float64 // s: the node's own part of an answer's delay, smoothed
+	ownAt              Time
+	ownMode            Mode
+	ownQ               float64 // drop fraction for the node's own sake
+	notes              float64 // log lines that may be written now
+	notesAt            Time
 	worth, top         float64 // of the mean request; of the class with the most
 	budget             float64 // further attempts allowed
 	subscribed, asking bool
@@ -104,7 +130,12 @@
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
 	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
-		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, requests: map[RequestID]*request{}}
+		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		cells: map[int]*pool{}, zones: map[string]*pool{}}
+	m.salt = mix(m.rng)
+	for i := range m.pools {
+		m.pools[i].by = byMode
+	}
 	m.set.Nodes = max(1, s.Nodes)
 	m.share = 1 / float64(m.set.Nodes)
 	if !s.HoldOffs {
@@ -142,7 +173,7 @@
 
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
-		m.known[id] = &server{since: m.now, quietUntil: m.now, place: mix(uint64(id) * 0x9e3779b97f4a7c15)}
+		m.known[id] = &server{Server: Server{State: Gone}, since: m.now, quietUntil: m.now, place: mix(uint64(id) * 0x9e3779b97f4a7c15)}
 	}
 	return m.known[id]
 }
@@ -157,13 +188,53 @@
 func (m *Module) do(a Action) { m.out = append(m.out, a) }
 
 // note logs a line about a server, at most one in 5 s, so that one that fails and recovers all the time fills no disk.
+// All of them together have a bound too: a fleet of thousands may go at once.
 func (m *Module) note(s *server, line string) {
-	if m.now >= s.quietUntil {
+	if m.now >= s.quietUntil && m.mayNote() {
 		s.quietUntil = m.now + 5*time.Second
 		m.do(Log{fmt.Sprintf("server %d %s", s.ID, line)})
 	}
 }
 
+const (
+	notesPerSecond = 10
+	notesAtOnce    = 200
+)
+
+func (m *Module) mayNote() bool {
+	m.notes, m.notesAt = math.Min(notesAtOnce, m.notes+notesPerSecond*(m.now-m.notesAt).Seconds()), m.now
+	ok := m.notes >= 1
+	if ok {
+		m.notes--
+	}
+	return ok
+}
+
+// sweep is a round over the subset: what the thresholds need of the whole fleet.
+type sweep struct{ rate, count, own, all float64 }
+
+// group gives the pool of a map, made where there is none.
+func group[K comparable](groups map[K]*pool, key K, by int) *pool {
+	p := groups[key]
+	if p == nil {
+		p = &pool{by: by}
+		groups[key] = p
+	}
+	return p
+}
+
+// ungroup takes a server out of its pool of a map. A pool that is empty goes: names come without end.
+func ungroup[K comparable](groups map[K]*pool, key K, s *server, by int) {
+	if leave(s, by); groups[key] != nil && len(groups[key].list) == 0 {
+		delete(groups, key)
+	}
+}
+
+// dither is a server's number in [0,1) for this period, at each node another.
+func (m *Module) dither(s *server) float64 {
+	return float64(mix(s.place^m.salt+m.period*0x9e3779b97f4a7c15)>>11) / (1 << 53)
+}
+
 func decay(since time.Duration, tau float64) float64 { return math.Exp(-since.Seconds() / tau) }
 
 // mix spreads the bits of a number (splitmix64).
