--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -69,8 +69,21 @@
 	host  *host
 	place *queue.Element // among all idle connections, while it is idle
 	r     *bufio.Reader
-	left  *io.LimitedReader // under r: what may still come on one answer
-	since time.Time         // made, or idle since
+	left  int64     // what may still come on one answer
+	short bool      // the last read had room for more than there was
+	since time.Time // made, or idle since
+}
+
+// Read is what r reads by: no more than may still come.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, io.EOF
+	}
+	p = p[:min(int64(len(p)), c.left)]
+	n, err := c.Conn.Read(p)
+	c.left -= int64(n)
+	c.short = n < len(p)
+	return n, err
 }
 
 func newBackends(c *Config, limit int, log *slog.Logger) *backends {
@@ -275,8 +288,9 @@
 		b.open--
 		return nil, err
 	}
-	left := &io.LimitedReader{R: tcp}
-	return &conn{Conn: tcp, host: h, r: bufio.NewReader(left), left: left, since: time.Now()}, nil
+	c := &conn{Conn: tcp, host: h, since: time.Now()}
+	c.r = bufio.NewReader(c)
+	return c, nil
 }
 
 // evict makes room at the bound by closing the connection that has been idle longest.
@@ -409,30 +423,49 @@
 	errTooLarge  = errors.New("the answer is too large")
 )
 
-// roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
-func (b *backends) roundTrip(c *conn, x *exchange) (r result, keep bool) {
-	left := max(0, time.Until(x.deadline))
-	header := x.header.Clone()
-	if header == nil {
-		header = http.Header{}
-	}
-	header["X-Time-Left"] = []string{strconv.FormatFloat(left.Seconds(), 'f', 3, 64)}
-	req := &http.Request{Method: x.method, URL: x.url, Host: x.url.Host, Header: header, ProtoMajor: 1, ProtoMinor: 1}
-	if len(x.body) > 0 || x.method == http.MethodPost {
-		req.ContentLength, req.Body = int64(len(x.body)), io.NopCloser(bytes.NewReader(x.body))
-		if len(x.body) == 0 {
-			req.Body = http.NoBody
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// write puts a request into the form that it has on a connection. All its parts have been read by net/http, which
+// lets no line break through.
+func (x *exchange) write(to *bytes.Buffer) {
+	uri := x.url.RequestURI()
+	to.Grow(1<<10 + len(x.body))
+	to.WriteString(x.method)
+	to.WriteByte(' ')
+	to.WriteString(uri)
+	to.WriteString(" HTTP/1.1\r\nHost: ")
+	to.WriteString(x.url.Host)
+	to.WriteString("\r\n")
+	for name, values := range x.header {
+		for _, v := range values {
+			to.WriteString(name)
+			to.WriteString(": ")
+			to.WriteString(v)
+			to.WriteString("\r\n")
 		}
 	}
-	var text bytes.Buffer
-	text.Grow(1<<10 + len(x.body))
-	if err := req.Write(&text); err != nil {
-		return result{code: decide.ConnectFailed, err: err}, false
+	to.WriteString("X-Time-Left: ")
+	left := max(0, time.Until(x.deadline))
+	to.Write(strconv.AppendFloat(to.AvailableBuffer(), left.Seconds(), 'f', 3, 64))
+	if len(x.body) > 0 || x.method == http.MethodPost {
+		to.WriteString("\r\nContent-Length: ")
+		to.Write(strconv.AppendInt(to.AvailableBuffer(), int64(len(x.body)), 10))
 	}
+	to.WriteString("\r\n\r\n")
+	to.Write(x.body)
+}
+
+// roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
+func (b *backends) roundTrip(c *conn, x *exchange) (r result, keep bool) {
+	text := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(text)
+	text.Reset()
+	x.write(text)
 	if _, err := c.Write(text.Bytes()); err != nil {
 		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
 	}
-	c.left.N = headLimit // http.ReadResponse itself takes a header of any size
+	c.left = headLimit                     // http.ReadResponse itself takes a header of any size
+	req := &http.Request{Method: x.method} // of it ReadResponse looks at the method only
 	resp, err := http.ReadResponse(c.r, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(c.r, req) // that was an interim answer
@@ -450,7 +483,7 @@
 			return result{code: decide.Reset, err: errTooLarge}, false
 		}
 	}
-	c.left.N += answerLimit + headLimit // and chunks' framing
+	c.left += answerLimit + headLimit // and chunks' framing
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
 	switch {
 	case err != nil:
@@ -461,7 +494,12 @@
 		// A body that ends with its connection looks whole when the backend has died within it.
 		return result{code: decide.Reset, err: errTruncated}, false
 	}
-	more, open := c.behind()
+	// A read that found less than it had room for has taken all that had come: to look again at once would tell nothing
+	// new, and costs a system call. Before it is used again the connection is looked at in any case.
+	more, open := "", true
+	if !c.short || c.r.Buffered() > 0 {
+		more, open = c.behind()
+	}
 	if more != "" && !strings.HasPrefix(httpStart, more) {
 		// Another answer behind this one leaves this one good. Anything else may be its own end, and its length wrong.
 		return result{code: decide.Reset, err: errors.New("the answer is longer than its length")}, false
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -107,6 +107,7 @@
 		return
 	}
 	req := newRequest(r, class, patience, body)
+	req.arriving = true
 	if end := f.drainEnd.Load(); end != nil && req.deadline.After(*end) {
 		req.deadline = *end
 	}
@@ -114,6 +115,18 @@
 		f.write(w, answer{status: http.StatusServiceUnavailable, reason: decide.ByNode})
 		return
 	}
+	if req.attempt != nil {
+		// It ends by the request's deadline, or when it is called off.
+		stop := context.AfterFunc(r.Context(), func() { f.loop.post(func() { f.loop.abandon(req) }) })
+		req.attempt()
+		stop()
+		select {
+		case a := <-req.answer:
+			f.write(w, a)
+			return
+		default:
+		}
+	}
 	late := time.NewTimer(max(0, time.Until(req.deadline)) + overdue)
 	defer late.Stop()
 	select {
@@ -195,7 +208,7 @@
 
 func newRequest(r *http.Request, class string, patience time.Duration, body []byte) *request {
 	e := decide.RequestArrived{ID: decide.RequestID(r.Header.Get("X-Correlation-Id")), Class: class, Tenant: r.Header.Get("X-Account"),
-		Key: r.URL.Query().Get("obj"), Repeat: r.Header.Get("X-Repeat") == "1", Write: fact(r.Header.Get("X-Facts"), "write")}
+		Key: queryValue(r.URL.RawQuery, "obj"), Repeat: r.Header.Get("X-Repeat") == "1", Write: fact(r.Header.Get("X-Facts"), "write")}
 	if us, err := strconv.ParseFloat(r.Header.Get("X-Weight-Hint"), 64); err == nil && us >= 0 && us < patienceLimit.Seconds()*1e6 {
 		e.WorkHint, e.HasHint = time.Duration(us*float64(time.Microsecond)), true
 	}
@@ -204,6 +217,23 @@
 		header: endToEnd(r.Header), answer: make(chan answer, 1)}
 }
 
+// queryValue gives the first value of a name, as url.Values.Get does, without taking the rest apart.
+func queryValue(query, name string) string {
+	for pair := range strings.SplitSeq(query, "&") {
+		n, v, _ := strings.Cut(pair, "=")
+		if strings.Contains(pair, ";") || n != name && !strings.ContainsAny(n, "%+") {
+			continue
+		}
+		if n, err := url.QueryUnescape(n); err != nil || n != name {
+			continue
+		}
+		if v, err := url.QueryUnescape(v); err == nil {
+			return v
+		}
+	}
+	return ""
+}
+
 // fact tells whether one of the further figures of a request is set.
 func fact(text, name string) bool {
 	for field := range strings.SplitSeq(text, ",") {
@@ -227,13 +257,16 @@
 			}
 		}
 	}
-	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Expect", "Content-Length", "X-Time-Left", "X-Backend-Load", "X-Unprocessed"} {
-		out.Del(name)
+	for _, name := range ownFields {
+		delete(out, name)
 	}
 	return out
 }
 
+// ownFields belong to one connection or are the node's own, in canonical form.
+var ownFields = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Content-Length", "X-Time-Left", "X-Backend-Load", "X-Unprocessed"}
+
 // write sends the final answer. It is the only one: each request comes here once.
 func (f *frontend) write(w http.ResponseWriter, a answer) {
 	h := w.Header()
@@ -246,6 +279,9 @@
 			h["Connection"] = closing
 		}
 	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // else net/http would guess one
+	}
 	if f.closing.Load() { // it may have begun while the request was out
 		h.Set("Connection", "close")
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -22,7 +22,6 @@
 	overdue = 20 * time.Millisecond
 	// windowMargin is kept from the end of the time in which backends remember a key.
 	windowMargin = 100 * time.Millisecond
-	eventQueue   = 1024
 )
 
 // request is a client's request as the front end has read it.
@@ -36,6 +35,8 @@
 	answer   chan answer // holds one: the final answer
 
 	// The rest belongs to the loop.
+	arriving bool   // in the front's own goroutine, which can make the first attempt itself
+	attempt  func() // that attempt; the front calls it
 	over     bool
 	out      int
 	attempts []*attempt
@@ -59,7 +60,8 @@
 }
 
 // loop owns the module: all that happens is put into words for it here, one thing at a time, and what it wants
-// is set going. Nothing in it waits for the network.
+// is set going. Nothing in it waits for the network. Whoever has news takes the lock and tells it; a goroutine of its
+// own, to which all news went, cost two changes of goroutine more for each request.
 type loop struct {
 	module   *decide.Module
 	settings decide.Settings
@@ -68,13 +70,16 @@
 	peers    *peers
 	log      *slog.Logger
 
-	ctx      context.Context // of all that the loop sets going
-	happened chan func()
-	work     sync.WaitGroup
-	able     atomic.Bool // some backend is ready
-	began    time.Time
-	base     decide.Time // the clock's reading at began
+	ctx   context.Context // of all that the loop sets going
+	begun chan struct{}   // closed once the list of the start is taken in
+	work  sync.WaitGroup
+	able  atomic.Bool // some backend is ready
+	began time.Time
+	base  decide.Time // the clock's reading at began
 
+	mu        sync.Mutex // over all that follows, and the module
+	ended     bool
+	alarm     *time.Timer // for the first of timers
 	requests  map[decide.RequestID]*request
 	timers    timerHeap
 	queue     []decide.Event
@@ -88,7 +93,7 @@
 func newLoop(ctx context.Context, c *Config, b *backends, d *discovery, p *peers, log *slog.Logger) *loop {
 	now := time.Now()
 	return &loop{module: decide.New(c.Settings, c.Seed), settings: c.Settings, backends: b, disco: d, peers: p, log: log,
-		ctx: ctx, happened: make(chan func(), eventQueue), began: now, base: time.Duration(now.UnixNano()),
+		ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now, base: time.Duration(now.UnixNano()),
 		requests: map[decide.RequestID]*request{}, ready: map[decide.ServerID]bool{}}
 }
 
@@ -96,43 +101,62 @@
 // backends started can be told on it.
 func (l *loop) now() decide.Time { return l.base + time.Since(l.began) }
 
-// post has f run in the loop. It tells whether it will.
+// post runs f under the lock. It tells whether it did: once the loop has ended it does not. f may not post.
 func (l *loop) post(f func()) bool {
 	select {
-	case l.happened <- f:
-		return true
+	case <-l.begun:
 	case <-l.ctx.Done():
 		return false
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return false
+	}
+	f()
+	return true
 }
 
-// run is the loop's goroutine. It ends with the context, once all that it has set going has ended.
+// run begins with the list that the node last had, and tells the module of its timers. It ends with the context, once
+// all that the loop has set going has ended.
 func (l *loop) run(known list) {
 	defer l.work.Wait()
+	defer l.alarm.Stop()
+	l.mu.Lock()
 	known.full = true
 	l.follow(known, decide.ListCached)
 	if !l.settings.AskForList {
 		l.listen()
 	}
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	l.mu.Unlock()
+	close(l.begun)
 	for {
-		if len(l.timers) > 0 {
-			timer.Reset(time.Until(l.timers[0].at))
-		}
 		select {
 		case <-l.ctx.Done():
+			l.mu.Lock()
+			l.ended = true
+			l.mu.Unlock()
 			return
-		case f := <-l.happened:
-			f()
-		case <-timer.C:
-			for now := time.Now(); len(l.timers) > 0 && !l.timers[0].at.After(now); {
-				l.handle(decide.TimerFired{Token: heap.Pop(&l.timers).(runningTimer).token})
-			}
+		case <-l.alarm.C:
+			l.post(l.ring)
 		}
 	}
 }
 
+// ring tells the module of the timers whose time has come, and sets the alarm for the next.
+func (l *loop) ring() {
+	for now := time.Now(); len(l.timers) > 0 && !l.timers[0].at.After(now); {
+		l.handle(decide.TimerFired{Token: heap.Pop(&l.timers).(runningTimer).token})
+	}
+	l.setAlarm()
+}
+
+func (l *loop) setAlarm() {
+	if len(l.timers) > 0 {
+		l.alarm.Reset(time.Until(l.timers[0].at))
+	}
+}
+
 // handle gives the module an event and does what it asks for. What that brings about at once comes after it.
 func (l *loop) handle(e decide.Event) {
 	l.queue = append(l.queue, e)
@@ -163,7 +187,10 @@
 			r.attempts[a.Attempt].cancel()
 		}
 	case decide.SetTimer:
-		heap.Push(&l.timers, runningTimer{time.Now().Add(a.After), a.Token})
+		timer := runningTimer{time.Now().Add(a.After), a.Token}
+		if heap.Push(&l.timers, timer); l.timers[0] == timer {
+			l.setAlarm()
+		}
 	case decide.Probe:
 		l.probe(a.Server)
 	case decide.SendMessage:
@@ -203,6 +230,7 @@
 	l.requests[r.arrived.ID] = r
 	r.arrived.Patience = time.Until(r.deadline)
 	l.handle(r.arrived)
+	r.arriving = false
 }
 
 // abandon ends a request whose client is gone.
@@ -241,7 +269,7 @@
 	r.attempts = append(r.attempts, t)
 	r.out++
 	if r.over || n >= max(1, l.settings.MaxAttempts) || !now.Before(r.deadline) {
-		l.ended(a, n, result{code: decide.Moot})
+		l.over(a, n, result{code: decide.Moot})
 		return
 	}
 	x := &exchange{method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline}
@@ -255,17 +283,23 @@
 		}
 	}
 	h := l.backends.find(a.Server)
-	l.work.Go(func() {
+	run := func() {
 		defer cancel()
 		t.begun = time.Now()
 		res := l.backends.do(ctx, h, x)
 		res.at = time.Now()
-		l.post(func() { l.ended(a, n, res) })
-	})
+		l.post(func() { l.over(a, n, res) })
+	}
+	// Where an attempt can't be called off, the front may not be held by it: its client may go.
+	if r.arriving && r.attempt == nil && l.settings.MayCancel {
+		r.attempt = run
+		return
+	}
+	l.work.Go(run)
 }
 
-// ended tells the module of an attempt's end; the first answer goes to the client.
-func (l *loop) ended(a decide.Send, n int, res result) {
+// over tells the module of an attempt's end; the first answer goes to the client.
+func (l *loop) over(a decide.Send, n int, res result) {
 	r := l.requests[a.ID]
 	t := r.attempts[n]
 	t.cancel()
@@ -292,7 +326,7 @@
 }
 
 // own is the part of an attempt's time that passed in this node. It waited for the processor before it began, when its
-// answer had come, and before the loop heard of it. The second of these can't be seen from here: the first stands in
+// answer had come, and for the loop. The second of these can't be seen from here: the first stands in
 // for it, as both are one round of the run queue.
 func (t *attempt) own(at time.Time, elapsed time.Duration) time.Duration {
 	if t.begun.IsZero() || at.IsZero() {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1099,7 +1099,7 @@
 	l.post(func() { l.do(decide.SetTimer{After: time.Millisecond, Token: 9}); close(fired) })
 	<-fired
 	for empty := false; !empty; time.Sleep(time.Millisecond) {
-		done := make(chan bool)
+		done := make(chan bool, 1)
 		l.post(func() {
 			left := false
 			for _, timer := range l.timers {
