Room that grows with calm answers; the node's own lag measured through its poller

Need: at 50 ms and 256 connections the node refused nearly all: H follows the rate of answers, which says nothing of a server's capacity while demand is low, so a rise was refused for seconds. With servers of 0.2 ms that went to 40 ms, all of them were taken for silent after 4 times 0.2 ms. Attempts made in the front's goroutine no longer showed how long the node itself takes to notice an answer.

Change: an answer whose latency is under 0.3 of the delay that aims allow makes room for one more request than the server carried (doubling in a round trip at most); a slower one halves that. Silence counts from that same delay. A byte through a pipe each tick measures how long the process takes to notice what has come.

--- a/cmd/rig/scale.go
+++ b/cmd/rig/scale.go
@@ -143,6 +143,7 @@
 	rate    []float64
 	times   []time.Duration
 	refused int
+	byNode  int
 	failed  int
 }
 
@@ -184,7 +185,7 @@
 					c := &cells[i]
 					c.rate = append(c.rate, float64(s.Served)/r.window.Seconds())
 					c.times = append(c.times, s.Times...)
-					c.refused, c.failed = c.refused+s.RefusedTries, c.failed+s.Failed
+					c.refused, c.byNode, c.failed = c.refused+s.RefusedTries, c.byNode+s.RefusedByNode, c.failed+s.Failed
 				}
 				last := len(cells[0].rate) - 1
 				ratios = append(ratios, cells[0].rate[last]/max(cells[1].rate[last], 1))
@@ -193,7 +194,7 @@
 			for i, t := range r.targets {
 				r.out.figure(name+"."+t.name+".rate", median(cells[i].rate), "requests/s")
 				r.out.figure(name+"."+t.name+".p99", float64(quantile(cells[i].times, 0.99))/1e6, "ms")
-				r.out.figure(name+"."+t.name+".refused", cells[i].refused, "requests")
+				r.out.figure(name+"."+t.name+".refused", cells[i].refused, fmt.Sprintf("requests, %d of them by the node's own limit", cells[i].byNode))
 			}
 			ratio := median(ratios)
 			r.out.figure(name+".ratio", fmt.Sprintf("%.2f (%.2f to %.2f)", ratio, slices.Min(ratios), slices.Max(ratios)), "of the plain proxy's rate")
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,6 +45,9 @@
 	subsetTime  = 2.0                    // s; a subset's server is tried so often: news before a trouble is old
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
+	calmPart    = 0.3                    // of the delay that aims allow: a server whose latency is less is calm;
+	calmStep    = 1.0                    // each such answer makes room for so many more requests at once,
+	calmMost    = 2.0                    // up to this multiple of what it carried then
 	ownTau      = 1.0                    // s; smoothing of the node's own delay, and its memory without answers
 	scanMost    = 32                     // servers looked at for a further attempt: its first ones are barred
 	drawMost    = 32                     // draws that may find a server in another mode than it was left in
@@ -155,7 +158,21 @@
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
 	want := math.Min(math.Max(queueFactor*m.base, roomyPart*m.aimed), m.aimed)
 	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
-	return math.Max(h, leastWindow/float64(m.set.Nodes))
+	return math.Max(math.Max(h, leastWindow/float64(m.set.Nodes)), s.room*decay(m.now-s.roomAt, rateTau))
+}
+
+// widen follows an answer. A rate of answers tells of a server's capacity only while requests want all of it;
+// after less, a rise would be refused for as long as the rate takes to follow. So what a server has carried
+// without its latency showing it makes room for more, by a step an answer, as answers come only from requests
+// that it has taken. Once the latency shows it, H is what the rate says.
+func (m *Module) widen(s *server) {
+	room := s.room * decay(m.now-s.roomAt, rateTau)
+	if m.latencyOf(s) <= calmPart*m.aimed {
+		room = math.Max(room, math.Min(math.Max(room, s.n)+calmStep, calmMost*(s.n+1)))
+	} else {
+		room /= 2
+	}
+	s.room, s.roomAt = room, m.now
 }
 
 // crowd gives n and H of a server. H is rounded up or down by chance: its mean over nodes is kept. A sparse
@@ -375,6 +392,7 @@
 		s.backoff = 0
 		if !r.started {
 			m.learn(s, r.class, e.Elapsed, e.Own)
+			m.widen(s)
 		}
 		if s.strikes = 0; s.suspect {
 			s.suspect = false
@@ -691,6 +709,15 @@
 	m.finish(r, ByServers)
 }
 
+// muteLeast: where answers come in a millisecond, a few of them missing are a pause and no silence, as long
+// as the aims have room for it.
+func (m *Module) muteLeast() float64 {
+	if math.IsInf(m.aimed, 1) {
+		return 0
+	}
+	return calmPart * m.aimed
+}
+
 // round is the number of ticks in which the sweep looks at every server of the subset.
 func (m *Module) round() float64 {
 	return math.Max(1, math.Ceil(float64(len(m.near))/float64(m.stride())))
@@ -737,8 +764,8 @@
 			continue
 		}
 		// Silence: several sends, no answer at all, for a time in which the fleet's mean request is long done.
-		if s.unanswered >= suspectAt && m.mean > 0 &&
-			(m.now-s.muteSince).Seconds() > muteFactor*math.Max(m.mean, m.latencyOf(s)) {
+		if s.unanswered >= suspectAt && m.mean > 0 && (m.now-s.muteSince).Seconds() >
+			math.Max(m.muteLeast(), muteFactor*math.Max(m.mean, m.latencyOf(s))) {
 			m.accuse(s, "no answer")
 		}
 		if s.suspect {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -69,6 +69,7 @@
 	disco    *discovery
 	peers    *peers
 	log      *slog.Logger
+	lag      *lagMeter // nil: not measured
 
 	ctx   context.Context // of all that the loop sets going
 	begun chan struct{}   // closed once the list of the start is taken in
@@ -145,6 +146,7 @@
 
 // ring tells the module of the timers whose time has come, and sets the alarm for the next.
 func (l *loop) ring() {
+	l.lag.ping()
 	for now := time.Now(); len(l.timers) > 0 && !l.timers[0].at.After(now); {
 		l.handle(decide.TimerFired{Token: heap.Pop(&l.timers).(runningTimer).token})
 	}
@@ -321,18 +323,17 @@
 		delete(l.requests, a.ID)
 	}
 	elapsed := time.Since(t.sent)
-	l.handle(decide.AttemptEnded{ID: a.ID, Attempt: n, Server: a.Server, Over: r.over, Elapsed: elapsed, Own: t.own(res.at, elapsed),
+	l.handle(decide.AttemptEnded{ID: a.ID, Attempt: n, Server: a.Server, Over: r.over, Elapsed: elapsed, Own: t.own(res.at, l.lag.value(), elapsed),
 		Code: res.code, Report: res.report})
 }
 
-// own is the part of an attempt's time that passed in this node. It waited for the processor before it began, when its
-// answer had come, and for the loop. The second of these can't be seen from here: the first stands in
-// for it, as both are one round of the run queue.
-func (t *attempt) own(at time.Time, elapsed time.Duration) time.Duration {
+// own is the part of an attempt's time that passed in this node: before it began, until its answer was noticed, and
+// until the loop was free.
+func (t *attempt) own(at time.Time, lag, elapsed time.Duration) time.Duration {
 	if t.begun.IsZero() || at.IsZero() {
 		return 0
 	}
-	return min(2*t.begun.Sub(t.sent)+time.Since(at), elapsed)
+	return min(t.begun.Sub(t.sent)+lag+time.Since(at), elapsed)
 }
 
 // heard takes a datagram from another node.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,10 @@
 	}
 	b := newBackends(c, room-clients, log)
 	l := newLoop(inner, c, b, newDiscovery(c.Discovery, log), p, log)
+	if l.lag, err = newLagMeter(); err != nil {
+		tcp.Close()
+		return fmt.Errorf("pipe: %w", err)
+	}
 	f := newFrontend(l, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
 	door := newAdmission(tcp, clients)
 	srv := f.server(door)
@@ -57,6 +61,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { l.run(c.Known) })
 	running.Go(func() { b.run(inner) })
+	running.Go(l.lag.run)
 	if p != nil {
 		running.Go(func() { p.write(inner) })
 		running.Go(func() { p.read(l.heard) })
@@ -73,6 +78,7 @@
 		f.drain(srv, door)
 	}
 	stop()
+	l.lag.close()
 	srv.Close()
 	running.Wait()
 	return err
