Shed by delay that shows: calm servers are exempt, far aims are bounded, classes weighed evenly

Need: in virtual time and on sockets, a rise from 8 to 256 connections, a mix of classes of 0.2 and 200 ms, and far aims went wrong: refusals before any delay showed; a millisecond's pause of a class that costs a hundredth of the mean looked like a server ten times slower; with aims of 10 s the queue crept to 3.6 s and half the answers were given up on.

Change: from H to R nothing is shed while the server picked answers within 0.24 of the delay allowed, by its last answer too; the delay allowed is at most 6 uncrowded latencies or 0.6 s; means run over 0.25 s where answers are many; a class under a quarter of the mean cost is weighed by difference; a new class is expected to cost what it does.

--- a/cmd/rig/child.go
+++ b/cmd/rig/child.go
@@ -187,7 +187,8 @@
 // node is a running node.
 type node struct {
 	*child
-	addr string
+	addr  string
+	began time.Time // of the load that a rig plays
 }
 
 // configFile writes a node's configuration as DEPLOY has it.
@@ -240,7 +241,7 @@
 			return nil, err
 		}
 		if last = ready(ctx, c, "http://"+o.listen+"/health/ready"); last == nil {
-			return &node{c, o.listen}, nil
+			return &node{child: c, addr: o.listen}, nil
 		}
 		c.kill()
 	}
--- a/cmd/rig/rules.go
+++ b/cmd/rig/rules.go
@@ -2,7 +2,134 @@
 
 import (
 	"context"
-	"errors"
+	"flag"
+	"fmt"
+	"sync"
+	"time"
+
+	"starlingvalve/internal/standin"
 )
 
-func rules(ctx context.Context, o *options, args []string) error { return errors.New("not yet") }
+// rules plays a day of troubles against one node and judges it by the four rules: a server drains, leaves, and a cold one
+// takes its place; one takes requests and answers none; one dies; clients ask twice what the servers can do.
+func rules(ctx context.Context, o *options, args []string) error {
+	fs := flag.NewFlagSet("rules", flag.ContinueOnError)
+	binary := fs.String("bin", "", "the program; it is built where none is named")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	w, err := newWorkshop(ctx, *binary)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	const servers, cores = 6, 4
+	work := kampklipWork(2)
+	mean := 0.0
+	for _, c := range kampklip {
+		mean += c.Share * work[c.Name].Time.Seconds()
+	}
+	f, err := newFleet(servers, cores, 60, work)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	const coldFrom, coldTime = 0.32, 8300 * time.Millisecond
+	n, err := w.node(ctx, w.binary, nodeOptions{name: "rules", registry: f.registry.Addr, classes: kampklip, memoryMB: 192, sockets: 1024, zone: "hall-a",
+		coldFrom: coldFrom, coldTime: coldTime})
+	if err != nil {
+		return err
+	}
+	unit := time.Second
+	if o.quick {
+		unit = 500 * time.Millisecond
+	}
+	capacity := servers * cores / mean
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var loads []*standin.Load
+	var running sync.WaitGroup
+	load := func(times float64, length time.Duration) {
+		l := &standin.Load{Addr: n.addr, Classes: kampklip, Retries: 2, Prefix: fmt.Sprintf("r%d.%d-", o.seed, len(loads)), KeepLog: true}
+		loads = append(loads, l)
+		ctx, cancel := context.WithTimeout(ctx, length)
+		running.Go(func() { defer cancel(); l.Open(ctx, times*capacity, 2000) })
+	}
+	set := func(s *standin.Server, state string) {
+		e := standin.EntryOf(s)
+		e.State = state
+		f.registry.Set(e)
+	}
+	load(0.55, 22*unit)
+	var cold []standin.Cold
+	for _, step := range []struct {
+		at time.Duration
+		do func() error
+	}{
+		{2, func() error { set(f.servers[0], "draining"); return nil }},
+		{4, func() error { set(f.servers[0], "gone"); return nil }},
+		{5, func() error {
+			s, err := standin.NewServer(standin.ServerOptions{Name: "s-0c01dc01", Zone: "hall-a", Kind: "std", Cell: 9, Cores: cores, Room: 60,
+				ColdFrom: coldFrom, ColdTime: coldTime, Dedup: &standin.Dedup{Window: 8 * time.Second}}, work)
+			if err != nil {
+				return err
+			}
+			f.servers = append(f.servers, s)
+			set(s, "ready")
+			cold = append(cold, standin.Cold{Server: s.Name, Started: s.Started, Cores: cores, From: coldFrom, Time: coldTime})
+			return nil
+		}},
+		{8, func() error { f.servers[1].Mute(true); return nil }},
+		{11, func() error { f.servers[1].Mute(false); return nil }},
+		{12, func() error { load(1.5, 3*unit); return nil }},
+		{17, func() error { f.servers[2].Close(); return nil }},
+		{18, func() error { set(f.servers[2], "gone"); return nil }},
+		{22, func() error { return nil }},
+	} {
+		if !sleepUntil(ctx, n, step.at*unit) {
+			break
+		}
+		if err := step.do(); err != nil {
+			return err
+		}
+	}
+	running.Wait()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	e := standin.Evidence{Classes: kampklip, Executions: f.executions(), Told: f.registry.Told(), Cold: cold}
+	worth, asked := 0.0, 0.0
+	for _, l := range loads {
+		s := l.Sums()
+		worth, asked = worth+s.Got, asked+s.Asked
+		e.Answers = append(e.Answers, l.Log()...)
+	}
+	select {
+	case <-n.ended:
+		o.out.promise(false, "the node runs on: %v\n%s", n.err, n.log.String())
+	default:
+	}
+	o.out.figure("rules.tries", len(e.Answers), "tries of clients")
+	o.out.figure("rules.executions", len(e.Executions), "at servers")
+	o.out.figure("rules.worth", worth/asked, "of what was asked")
+	o.out.figure("rules.memory", n.peakMemory(), "KiB (VmHWM)")
+	o.out.verdicts(standin.Check(e))
+	return nil
+}
+
+// sleepUntil waits until so long after a node's start of load. It tells whether to go on.
+func sleepUntil(ctx context.Context, n *node, at time.Duration) bool {
+	if n.began.IsZero() {
+		n.began = time.Now()
+	}
+	t := time.NewTimer(time.Until(n.began.Add(at)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-n.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/cmd/rig/scale.go
+++ b/cmd/rig/scale.go
@@ -38,6 +38,7 @@
 	targets []target
 	rounds  int
 	window  time.Duration
+	early   int // refusals before the count began, of the target in turn
 }
 
 // scale plays the table of ratios and the hard cases of docs/design/limits.md.
@@ -45,7 +46,7 @@
 	fs := flag.NewFlagSet("scale", flag.ContinueOnError)
 	binary := fs.String("bin", "", "the program; it is built where none is named")
 	base := fs.String("base", "", "a build of an earlier program, to be measured beside it")
-	only := fs.String("only", "", "one of table, step, mix, slow, starved, overload")
+	only := fs.String("only", "", "some of table, step, mix, slow, starved, overload, by commas")
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
@@ -63,7 +64,7 @@
 	defer w.Close()
 	r := &scaleRig{options: o, w: w, rounds: 5, window: time.Second}
 	if o.quick {
-		r.rounds, r.window = 1, 300*time.Millisecond
+		r.rounds, r.window = 1, 150*time.Millisecond
 	}
 	r.targets = []target{{"node", r.startNode(w.binary, "node")}, {"plain", r.startPlain}}
 	if *base != "" {
@@ -73,7 +74,7 @@
 		name string
 		run  func(context.Context) error
 	}{{"table", r.table}, {"step", r.step}, {"mix", r.mix}, {"slow", r.slow}, {"starved", r.starved}, {"overload", r.overload}} {
-		if *only == "" || *only == part.name {
+		if *only == "" || slices.Contains(strings.Split(*only, ","), part.name) {
 			if err := part.run(ctx); err != nil {
 				return fmt.Errorf("%s: %w", part.name, err)
 			}
@@ -114,7 +115,7 @@
 	if err := ready(ctx, c, "http://"+addr+"/health/ready"); err != nil {
 		return nil, err
 	}
-	return &node{c, addr}, onCore(c.cmd.Process.Pid, nodeCore)
+	return &node{child: c, addr: addr}, onCore(c.cmd.Process.Pid, nodeCore)
 }
 
 // closed asks a node over so many connections and counts for a window after it has warmed up. script, if there is one,
@@ -127,6 +128,10 @@
 	ramp := 200 * time.Millisecond
 	go func() { defer close(done); l.Closed(ctx, conns, ramp) }()
 	time.Sleep(2 * ramp)
+	if len(classes) > 1 {
+		time.Sleep(time.Second) // what classes cost beside one another is learned from their answers
+	}
+	r.early += l.Sums().RefusedTries
 	l.CountFrom()
 	if script != nil {
 		script()
@@ -144,6 +149,7 @@
 	times   []time.Duration
 	refused int
 	byNode  int
+	early   int
 	failed  int
 }
 
@@ -183,6 +189,7 @@
 				for i, n := range nodes {
 					s := r.closed(ctx, n, []standin.Class{scaleClass}, conns, r.window, nil)
 					c := &cells[i]
+					c.early, r.early = c.early+r.early, 0
 					c.rate = append(c.rate, float64(s.Served)/r.window.Seconds())
 					c.times = append(c.times, s.Times...)
 					c.refused, c.byNode, c.failed = c.refused+s.RefusedTries, c.byNode+s.RefusedByNode, c.failed+s.Failed
@@ -194,7 +201,7 @@
 			for i, t := range r.targets {
 				r.out.figure(name+"."+t.name+".rate", median(cells[i].rate), "requests/s")
 				r.out.figure(name+"."+t.name+".p99", float64(quantile(cells[i].times, 0.99))/1e6, "ms")
-				r.out.figure(name+"."+t.name+".refused", cells[i].refused, fmt.Sprintf("requests, %d of them by the node's own limit", cells[i].byNode))
+				r.out.figure(name+"."+t.name+".refused", cells[i].refused, fmt.Sprintf("requests, %d of them by the node's own limit; %d more while it warmed up", cells[i].byNode, cells[i].early))
 			}
 			ratio := median(ratios)
 			r.out.figure(name+".ratio", fmt.Sprintf("%.2f (%.2f to %.2f)", ratio, slices.Min(ratios), slices.Max(ratios)), "of the plain proxy's rate")
@@ -242,8 +249,10 @@
 			f.Close()
 			return nil, fmt.Errorf("%s: %w", t.name, err)
 		}
+		r.early = 0
 		s := play(n, f)
 		n.kill()
+		r.out.figure(name+"."+t.name+".early", r.early, "requests refused while it warmed up")
 		f.Close()
 		out[t.name] = s
 		r.out.figure(name+"."+t.name+".worth", s.Worth(), "of what was asked")
@@ -275,7 +284,7 @@
 
 func (r *scaleRig) long(d time.Duration) time.Duration {
 	if r.quick {
-		return d / 3
+		return d / 5
 	}
 	return d
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,6 +1,6 @@
 package decide
 
-// All decisions of a node. The interface (settings, events, actions) is in api.go; docs/design.md says why.
+// All decisions of a node. The interface (settings, events, actions) is in api.go; docs/design says why.
 
 import (
 	"fmt"
@@ -17,8 +17,10 @@
 	sparsePart  = 0.6                    // the same for sparse nodes, whose delays are means of the fleet's
 	sparseQueue = 2.0                    // requests ahead of one's own, at most: below what turns servers slow
 	queueFactor = 1.8                    // of the uncrowded latency: long queues harm where crowds slow servers
-	roomyPart   = 0.6                    // of the delay that aims allow: queues may be so long, as a part
-	sparseRoom  = 1.0 / 3                // of the aims' and not a multiple of the latency; for sparse nodes
+	roomyPart   = 0.6                    // of the delay that aims allow: queues may be so long
+	sparseRoom  = 1.0 / 3                // the same for sparse nodes
+	farFactor   = 6.0                    // of the uncrowded latency, and
+	farRoom     = 0.6                    // s; more than the larger of these is not allowed, however far aims are
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
@@ -31,6 +33,10 @@
 	rateTau     = 3.0                    // s; smoothing of a server's rate of answers
 	staleTau    = 3.0                    // s; a latency that is not renewed drifts to the fleet's mean
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
+	meanTau     = 0.25                   // s; or over so long, where answers are many: a mix is not to swing
+	expectFresh = time.Second            // s; a class that answered within it is expected to cost what it did,
+	expectNew   = 2 * time.Second        // s; while it is new: its cost beside others is not known yet
+	leastCost   = 0.25                   // multiple of the mean request's cost; see asMean
 	latencyGain = 0.1                    // weight of a new latency in a server's smoothed one
 	classGain   = 0.02                   // the same over all servers, where samples are many
 	outlierCap  = 4.0                    // multiple of the smoothed latency: a heavy request is no sick server
@@ -45,9 +51,9 @@
 	subsetTime  = 2.0                    // s; a subset's server is tried so often: news before a trouble is old
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
-	calmPart    = 0.3                    // of the delay that aims allow: a server whose latency is less is calm;
+	calmPart    = 0.24                   // of the delay that aims allow: a server whose latency is less is calm;
 	calmStep    = 1.0                    // each such answer makes room for so many more requests at once,
-	calmMost    = 2.0                    // up to this multiple of what it carried then
+	calmMost    = 1.6                    // up to this multiple of what it carried then
 	ownTau      = 1.0                    // s; smoothing of the node's own delay, and its memory without answers
 	scanMost    = 32                     // servers looked at for a further attempt: its first ones are barred
 	drawMost    = 32                     // draws that may find a server in another mode than it was left in
@@ -135,6 +141,9 @@
 	base, latency := 0.0, 0.0
 	for _, c := range m.order {
 		expected := m.mean * c.relative
+		if m.now-c.at < expectFresh && m.now-c.firstAt < expectNew {
+			expected = math.Min(expected, c.latency)
+		}
 		if c.base *= grow; c.count >= 1/classGain && (c.base == 0 || c.latency < c.base*(1-baseNoise)) {
 			c.base = c.latency / (1 - baseNoise)
 		}
@@ -148,6 +157,12 @@
 	}
 }
 
+// allowed is the delay that aims allow, as of a mean request. Where they are far off it is a multiple of the
+// uncrowded latency, or a second: a longer queue serves no more, and what waits in it may be given up on.
+func (m *Module) allowed() float64 {
+	return math.Min(m.aimed, math.Max(farFactor*m.base, farRoom))
+}
+
 // high is H: by Little's law the requests this node may have at a server whose answers come as fast as every
 // class's aim wants, and the more, the faster they come. Part of it is the fleet's mean: chance must not
 // starve a server. Queues stay small, as some servers turn slow for long when crowded.
@@ -156,20 +171,25 @@
 		return 2 * leastWindow / float64(m.set.Nodes)
 	}
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
-	want := math.Min(math.Max(queueFactor*m.base, roomyPart*m.aimed), m.aimed)
+	want := math.Min(math.Max(queueFactor*m.base, roomyPart*m.allowed()), m.aimed)
 	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
 	return math.Max(math.Max(h, leastWindow/float64(m.set.Nodes)), s.room*decay(m.now-s.roomAt, rateTau))
 }
 
+// calm tells whether a server answers long before the aims are in danger, whatever it holds.
+func (m *Module) calm(s *server) bool {
+	return m.learned && math.Max(s.last, m.latencyOf(s)) <= calmPart*m.allowed()
+}
+
 // widen follows an answer. A rate of answers tells of a server's capacity only while requests want all of it;
 // after less, a rise would be refused for as long as the rate takes to follow. So what a server has carried
 // without its latency showing it makes room for more, by a step an answer, as answers come only from requests
 // that it has taken. Once the latency shows it, H is what the rate says.
 func (m *Module) widen(s *server) {
 	room := s.room * decay(m.now-s.roomAt, rateTau)
-	if m.latencyOf(s) <= calmPart*m.aimed {
+	if m.calm(s) {
 		room = math.Max(room, math.Min(math.Max(room, s.n)+calmStep, calmMost*(s.n+1)))
-	} else {
+	} else if m.latencyOf(s) > calmPart*m.allowed() {
 		room /= 2
 	}
 	s.room, s.roomAt = room, m.now
@@ -360,20 +380,38 @@
 	t := math.Max(took.Seconds(), 1e-6)
 	m.answers++
 	c.count++
-	m.mean += math.Max(classGain, 1/m.answers) * (t - m.mean)
-	m.recent += math.Max(1-decay(m.now-m.answeredAt, subsetTime), 1/m.answers) * (t/c.relative - m.recent)
+	m.mean += math.Max(meanGain(m.now-m.answeredAt), 1/m.answers) * (t - m.mean)
+	m.recent += math.Max(1-decay(m.now-m.answeredAt, subsetTime), 1/m.answers) * (m.asMean(c, t) - m.recent)
 	m.answeredAt = m.now
-	c.latency += math.Max(classGain, 1/c.count) * (t - c.latency)
-	c.ambient += math.Max(classGain, 1/c.count) * (m.mean - c.ambient)
+	gain = math.Max(meanGain(m.now-c.at), 1/c.count)
+	if c.count == 1 {
+		c.firstAt = m.now
+	}
+	c.latency, c.at = c.latency+gain*(t-c.latency), m.now
+	c.ambient += gain * (m.mean - c.ambient)
 	c.relative = c.latency / c.ambient // not to m.mean: a rare class must not keep a past trouble's latency
 	m.weigh(s, c, took)
 }
 
+// meanGain is the weight of an answer that comes so long after the last one.
+func meanGain(since time.Duration) float64 { return math.Min(classGain, 1-decay(since, meanTau)) }
+
+// asMean gives what a latency of a class would be for a mean request: in proportion, but for a class that
+// costs next to nothing beside others, of which a pause of a millisecond would look like a server that is ten
+// times slower.
+func (m *Module) asMean(c *class, t float64) float64 {
+	if c.relative >= leastCost {
+		return t / c.relative
+	}
+	return math.Max(0, m.mean+(t-c.relative*m.mean)/leastCost)
+}
+
 // weigh takes a server's latency, capped, as a heavy request tells of itself and not of its server.
 func (m *Module) weigh(s *server, c *class, took time.Duration) {
 	l := m.latencyOf(s)
 	gain := math.Max(latencyGain, 1-decay(m.now-s.latencyAt, staleTau)) // a rare answer is all that is known
-	l += gain * (math.Min(took.Seconds()/c.relative, outlierCap*math.Max(l, m.mean)) - l)
+	s.last = m.asMean(c, took.Seconds())
+	l += gain * (math.Min(s.last, outlierCap*math.Max(l, m.mean)) - l)
 	s.excess, s.latencyAt = l-m.mean, m.now
 }
 
@@ -553,7 +591,13 @@
 		return
 	}
 	s, mode := m.pick(r)
-	if mode == Overloaded && (r.priority && m.random() < m.q1 || !r.priority && m.random() < m.q2) {
+	// From H to R a server may hold more than it can serve soon, or may just be sent more than before: it is the
+	// delay that tells, and nothing is shed before that shows.
+	q := m.q2
+	if r.priority {
+		q = m.q1
+	}
+	if mode == Overloaded && !m.calm(s) && m.random() < q {
 		s = nil
 	}
 	if !m.send(r, s, r.deadline) {
@@ -715,7 +759,7 @@
 	if math.IsInf(m.aimed, 1) {
 		return 0
 	}
-	return calmPart * m.aimed
+	return calmPart * m.allowed()
 }
 
 // round is the number of ticks in which the sweep looks at every server of the subset.
--- a/decide/state.go
+++ b/decide/state.go
@@ -23,6 +23,7 @@
 	imposedUntil        Time
 	n, report           float64 // own attempts in flight; requests it last reported to hold
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
+	last                float64 // s, the last answer's latency, as of a mean request
 	latencyAt, rateAt   Time
 	since, reportAt     Time // first listed; last report
 	strikes, unanswered int  // failures since the last success; sends since the last answer
@@ -50,6 +51,7 @@
 type class struct {
 	Class
 	count, latency          float64 // answers; s, smoothed over all servers
+	firstAt, at             Time    // of the first answer, and the last
 	ambient, base, relative float64 // s, m.mean at the times of its answers; the least that latency has been;
 	// and its cost as a multiple of the mean request's
 }
--- /dev/null
+++ b/internal/standin/check_test.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	t0      = time.Unix(1_700_000_000, 0)
+	classes = []Class{{Name: "read", Method: "GET"}, {Name: "order", Method: "POST"}, {Name: "tag", Method: "POST", Keyed: true}}
+)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// sound is a run in which every promise was tested and kept.
+func sound() Evidence {
+	e := Evidence{Classes: classes}
+	add := func(order, class, key string, ms int) {
+		id := order + ".0"
+		e.Executions = append(e.Executions, Execution{Server: "s1", ID: id, Class: class, Order: order, Key: key, Got: at(ms), Work: time.Millisecond, Ran: true})
+		e.Answers = append(e.Answers, Answer{Order: order, ID: id, Class: class, Key: key, Sent: at(ms), At: at(ms + 20), Deadline: at(ms + 500),
+			Status: 200, First: "s1 " + id})
+	}
+	add("a", "read", "", 0)
+	add("b", "order", "", 10)
+	add("c", "tag", "k", 20)
+	// An order that was refused unseen, and tried again.
+	e.Answers = append(e.Answers, Answer{Order: "d", ID: "d.0", Class: "order", Sent: at(30), At: at(31), Deadline: at(600), Status: 503})
+	e.Executions = append(e.Executions, Execution{Server: "s1", ID: "d.0", Class: "order", Order: "d", Got: at(30)})
+	add("d", "order", "", 40)
+	e.Answers[len(e.Answers)-1].ID, e.Executions[len(e.Executions)-1].ID = "d.1", "d.1"
+	e.Answers[len(e.Answers)-1].First = "s1 d.1"
+	// A key that came twice to its cell, which knew it.
+	e.Executions = append(e.Executions, Execution{Server: "s2", ID: "c.0", Class: "tag", Order: "c", Key: "k", Got: at(60), Ran: true, Repeat: true})
+	// A server that drained, and one that came back from it.
+	e.Told = []Telling{{"s1", "ready", at(0)}, {"s1", "draining", at(100)}, {"s3", "draining", at(100)}, {"s3", "ready", at(3000)}}
+	e.Executions = append(e.Executions,
+		Execution{Server: "s1", ID: "late", Class: "read", Got: at(100 + 540), Ran: true},
+		Execution{Server: "s3", ID: "back", Class: "read", Got: at(3100), Ran: true})
+	// A cold server, sent just what it may be.
+	e.Cold = []Cold{{Server: "s4", Started: at(5000), Cores: 2, From: 0.3, Time: 8 * time.Second}}
+	for i := range 15 {
+		e.Executions = append(e.Executions, Execution{Server: "s4", ID: fmt.Sprint("w", i), Class: "read", Got: at(5000 + 10*i), Work: 100 * time.Millisecond, Ran: true})
+	}
+	// A client that no node took.
+	e.Answers = append(e.Answers, Answer{ID: "z.0", Class: "read", Fault: "no connection: refused"})
+	return e
+}
+
+func TestSoundRunIsKept(t *testing.T) {
+	for _, v := range Check(sound()) {
+		if v.Count > 0 || v.Seen == 0 || !strings.HasPrefix(v.String(), "kept") {
+			t.Error(v)
+		}
+	}
+}
+
+// The checker sees each promise broken, and blames no other.
+func TestCheckerSeesEachBreach(t *testing.T) {
+	const one, own, twice, refused, drain, push = 0, 1, 2, 3, 4, 5
+	for name, c := range map[string]struct {
+		promise int
+		harm    func(e *Evidence)
+	}{
+		"no answer":         {one, func(e *Evidence) { e.Answers[0].Status, e.Answers[0].Fault = 0, "EOF" }},
+		"two answers":       {one, func(e *Evidence) { e.Answers = append(e.Answers, e.Answers[0]) }},
+		"a late answer":     {one, func(e *Evidence) { e.Answers[0].At = e.Answers[0].Deadline.Add(AnswerSlack + time.Millisecond) }},
+		"bytes behind one":  {one, func(e *Evidence) { e.Answers[3].Fault = "bytes behind the answer" }},
+		"an invented one":   {own, func(e *Evidence) { e.Answers[0].First = "s9 a.0" }},
+		"another's":         {own, func(e *Evidence) { e.Answers[0].Fault = "another request's answer" }},
+		"an order twice":    {twice, func(e *Evidence) { e.Executions = append(e.Executions, again(e, "b.0", "s2", "b.0")) }},
+		"over two tries":    {twice, func(e *Evidence) { e.Executions = append(e.Executions, again(e, "d.1", "s2", "d.2")) }},
+		"a key twice":       {twice, func(e *Evidence) { e.Executions = append(e.Executions, again(e, "c.0", "s9", "c.0")) }},
+		"refused, but run":  {refused, func(e *Evidence) { e.Executions[3].Ran, e.Executions[3].Order = true, "other" }},
+		"sent while drains": {drain, func(e *Evidence) { e.Executions = append(e.Executions, execution("s1", 100+551)) }},
+		"sent once gone": {drain, func(e *Evidence) {
+			e.Told = append(e.Told, Telling{"s2", "gone", at(200)})
+			e.Executions = append(e.Executions, execution("s2", 900))
+		}},
+		"drains again": {drain, func(e *Evidence) {
+			e.Told = append(e.Told, Telling{"s3", "draining", at(4000)})
+			e.Executions = append(e.Executions, execution("s3", 4600))
+		}},
+		"pushed over": {push, func(e *Evidence) {
+			for i := range 2 {
+				x := execution("s4", 5200+i)
+				x.Work = 100 * time.Millisecond
+				e.Executions = append(e.Executions, x)
+			}
+		}},
+	} {
+		e := sound()
+		c.harm(&e)
+		for i, v := range Check(e) {
+			if broken := v.Count > 0; broken != (i == c.promise) {
+				t.Errorf("%s: %v", name, v)
+			}
+		}
+	}
+}
+
+func execution(server string, ms int) Execution {
+	return Execution{Server: server, ID: fmt.Sprint("x", ms), Class: "read", Got: at(ms), Ran: true}
+}
+
+func again(e *Evidence, id, server, as string) Execution {
+	for _, x := range e.Executions {
+		if x.ID == id && x.Ran {
+			x.Server, x.ID = server, as
+			return x
+		}
+	}
+	panic("no such execution")
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,233 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func server(t *testing.T, o ServerOptions, work map[string]Work) *Server {
+	t.Helper()
+	s, err := NewServer(o, work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// ask sends one request straight to a server.
+func ask(t *testing.T, addr, class, key, order, id string) (status int, first string) {
+	t.Helper()
+	c, err := dialNode(addr, 5*time.Second)
+	if err != nil {
+		t.Error(err)
+		return 0, ""
+	}
+	defer c.Close()
+	a := Answer{Order: order, ID: id, Key: key, Deadline: time.Now().Add(20 * time.Second)}
+	c.ask(Class{Name: class, Method: "POST", Body: 10}, &a)
+	return a.Status, a.First
+}
+
+func TestServerKeepsItsLog(t *testing.T) {
+	s := server(t, ServerOptions{Name: "s1", Dedup: &Dedup{Window: time.Hour}}, map[string]Work{"tag": {Bytes: 100}})
+	for range 2 {
+		if status, first := ask(t, s.Addr, "tag", "k", "o", "i"); status != 200 || first != "s1 i" {
+			t.Fatal(status, first)
+		}
+	}
+	if status, _ := ask(t, s.Addr, "nothing", "", "o", "i"); status != 404 {
+		t.Errorf("an unknown class: %d", status)
+	}
+	l := s.Log()
+	if len(l) != 2 || !l[0].Ran || l[0].Repeat || !l[1].Repeat || l[0].Order != "o" || l[0].Key != "k" || l[0].ID != "i" {
+		t.Errorf("%+v", l)
+	}
+	s.Mute(true)
+	done := make(chan int)
+	go func() { status, _ := ask(t, s.Addr, "tag", "q", "o", "j"); done <- status }()
+	for s.Held() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Close()
+	if status := <-done; status != 0 {
+		t.Errorf("a mute server answered %d", status)
+	}
+}
+
+func TestServerTurnsAwayUnseen(t *testing.T) {
+	s := server(t, ServerOptions{Name: "s1", Cores: 1, Room: 1}, map[string]Work{"order": {Time: time.Hour}})
+	go ask(t, s.Addr, "order", "", "a", "a")
+	for s.Held() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if status, _ := ask(t, s.Addr, "order", "", "b", "b"); status != 503 {
+		t.Errorf("status %d", status)
+	}
+	if l := s.Log(); len(l) != 2 || !l[0].Ran || l[1].Ran {
+		t.Errorf("%+v", l)
+	}
+}
+
+func TestRegistryWatch(t *testing.T) {
+	r, err := NewRegistry(Entry{ID: "s-00000001", Addr: "127.0.0.1:1", State: "ready"}, Entry{ID: "s-00000002", Addr: "127.0.0.1:2", State: "ready"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	get := func(query string) (l struct {
+		Version uint64
+		Full    bool
+		Servers []Entry
+	}) {
+		resp, err := http.Get("http://" + r.Addr + "/registry/instances" + query)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer resp.Body.Close()
+		if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+			t.Error(err)
+		}
+		return
+	}
+	if l := get(""); !l.Full || l.Version != 1 || len(l.Servers) != 2 {
+		t.Errorf("%+v", l)
+	}
+	if l := get("?since=1&timeout_ms=1"); l.Full || l.Version != 1 || len(l.Servers) != 0 {
+		t.Errorf("%+v", l)
+	}
+	news := make(chan string)
+	go func() {
+		l := get("?since=1&timeout_ms=30000")
+		news <- fmt.Sprint(l.Version, " ", len(l.Servers), " ", l.Servers[0].State)
+	}()
+	r.Set(Entry{ID: "s-00000002", State: "gone"})
+	if got := <-news; got != "2 1 gone" {
+		t.Error(got)
+	}
+	if l := get(""); len(l.Servers) != 1 {
+		t.Errorf("%+v", l)
+	}
+	if told := r.Told(); len(told) != 2+1+1 || told[2].State != "gone" {
+		t.Errorf("%+v", told)
+	}
+}
+
+// answering serves what a node might, without one: reply gives the bytes for each request, or "" to break.
+func answering(t *testing.T, reply func(id string) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open sync.WaitGroup
+	t.Cleanup(func() { l.Close(); open.Wait() })
+	open.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			open.Go(func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					h, err := readHead(r)
+					if err != nil {
+						return
+					}
+					r.Discard(h.length)
+					text := reply(h.id)
+					if text == "" {
+						return
+					}
+					io.WriteString(c, text)
+				}
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
+func good(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\ns1 %s\n..", len(id)+6, id)
+}
+
+// Clients see an answer that is missing, another's, or followed by a second one; they try again only where they may.
+func TestClientsSeeFaults(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.001\r\nX-Refused-By: node\r\nContent-Length: 0\r\n\r\n"
+	class := Class{Name: "order", Method: "POST", Worth: 3, Aim: time.Minute, Patience: time.Minute, Share: 1, Body: 5}
+	read := class
+	read.Method = "GET"
+	for name, c := range map[string]struct {
+		class        Class
+		reply        func(id string) string
+		tries        int
+		served       bool
+		fault        string
+		refusedTries int
+	}{
+		"served":            {class, good, 1, true, "", 0},
+		"no answer, unsafe": {class, func(string) string { return "" }, 1, false, "EOF", 0},
+		"no answer, safe":   {read, func(string) string { return "" }, 3, false, "EOF", 0},
+		"another's answer":  {class, func(string) string { return good("other") }, 1, false, "another request's", 0},
+		"two answers":       {class, func(id string) string { return good(id) + good(id) }, 1, false, "second", 0},
+		"refused":           {class, func(string) string { return refusal }, 3, false, "", 3},
+		"refused, then served": {class, func(id string) string {
+			if strings.HasSuffix(id, ".0") {
+				return refusal
+			}
+			return good(id)
+		}, 2, true, "", 1},
+	} {
+		l := &Load{Addr: answering(t, c.reply), Classes: []Class{c.class}, Retries: 2, KeepLog: true}
+		var mine *clientConn
+		l.order(t.Context(), c.class, func() (*clientConn, error) {
+			var err error
+			mine, err = dialNode(l.Addr, 5*time.Second)
+			return mine, err
+		}, func(c *clientConn, _ bool) { c.Close() })
+		log, s := l.Log(), l.Sums()
+		last := log[len(log)-1]
+		if len(log) != c.tries || last.Served() != c.served || !strings.Contains(last.Fault, c.fault) || s.RefusedTries != c.refusedTries ||
+			s.RefusedByNode != c.refusedTries || s.Orders != 1 || (s.Worth() == 1) != c.served {
+			t.Errorf("%s: %+v, %+v", name, log, s)
+		}
+	}
+}
+
+func TestLoads(t *testing.T) {
+	s := server(t, ServerOptions{Name: "s1"}, map[string]Work{"order": {Bytes: 50}})
+	class := Class{Name: "order", Method: "POST", Worth: 1, Aim: time.Minute, Patience: time.Minute, Share: 1}
+	for _, open := range []bool{false, true} {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := &Load{Addr: s.Addr, Classes: []Class{class}, KeepLog: true}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if open {
+				l.Open(ctx, 500, 100)
+			} else {
+				l.Closed(ctx, 4, 0)
+			}
+		}()
+		for l.Sums().Served < 50 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		<-done
+		if s := l.Sums(); s.Served != s.Orders || s.Worth() != 1 {
+			t.Errorf("open %v: %+v", open, s)
+		}
+	}
+}
