--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,8 +34,8 @@
 	staleTau    = 3.0                    // s; a latency that is not renewed drifts to the fleet's mean
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
 	meanTau     = 0.25                   // s; or over so long, where answers are many: a mix is not to swing
-	expectFresh = time.Second            // s; a class that answered within it is expected to cost what it did,
-	expectNew   = 2 * time.Second        // s; while it is new: its cost beside others is not known yet
+	dearCost    = 4.0                    // multiple of the mean request's cost; of a class beyond that the mean
+	expectFresh = time.Second            // s; says little: answered within this time, it costs what it did
 	leastCost   = 0.25                   // multiple of the mean request's cost; see asMean
 	latencyGain = 0.1                    // weight of a new latency in a server's smoothed one
 	classGain   = 0.02                   // the same over all servers, where samples are many
@@ -141,7 +141,7 @@
 	base, latency := 0.0, 0.0
 	for _, c := range m.order {
 		expected := m.mean * c.relative
-		if m.now-c.at < expectFresh && m.now-c.firstAt < expectNew {
+		if c.relative > dearCost && m.now-c.at < expectFresh {
 			expected = math.Min(expected, c.latency)
 		}
 		if c.base *= grow; c.count >= 1/classGain && (c.base == 0 || c.latency < c.base*(1-baseNoise)) {
@@ -380,13 +380,10 @@
 	t := math.Max(took.Seconds(), 1e-6)
 	m.answers++
 	c.count++
-	m.mean += math.Max(meanGain(m.now-m.answeredAt), 1/m.answers) * (t - m.mean)
+	m.mean += math.Max(m.meanGain(m.now-m.answeredAt), 1/m.answers) * (t - m.mean)
 	m.recent += math.Max(1-decay(m.now-m.answeredAt, subsetTime), 1/m.answers) * (m.asMean(c, t) - m.recent)
 	m.answeredAt = m.now
-	gain = math.Max(meanGain(m.now-c.at), 1/c.count)
-	if c.count == 1 {
-		c.firstAt = m.now
-	}
+	gain = math.Max(m.meanGain(m.now-c.at), 1/c.count)
 	c.latency, c.at = c.latency+gain*(t-c.latency), m.now
 	c.ambient += gain * (m.mean - c.ambient)
 	c.relative = c.latency / c.ambient // not to m.mean: a rare class must not keep a past trouble's latency
@@ -394,7 +391,14 @@
 }
 
 // meanGain is the weight of an answer that comes so long after the last one.
-func meanGain(since time.Duration) float64 { return math.Min(classGain, 1-decay(since, meanTau)) }
+// At first it is larger: short requests answer first.
+func (m *Module) meanGain(since time.Duration) float64 {
+	if m.answers <= 1 {
+		m.firstAt = m.now
+	}
+	tau := math.Min(meanTau, math.Max(meanTau/10, (m.now-m.firstAt).Seconds()/4))
+	return math.Min(classGain, 1-decay(since, tau))
+}
 
 // asMean gives what a latency of a class would be for a mean request: in proportion, but for a class that
 // costs next to nothing beside others, of which a pause of a millisecond would look like a server that is ten
--- a/decide/state.go
+++ b/decide/state.go
@@ -51,7 +51,7 @@
 type class struct {
 	Class
 	count, latency          float64 // answers; s, smoothed over all servers
-	firstAt, at             Time    // of the first answer, and the last
+	at                      Time    // of the last answer
 	ambient, base, relative float64 // s, m.mean at the times of its answers; the least that latency has been;
 	// and its cost as a multiple of the mean request's
 }
@@ -111,7 +111,8 @@
 	choices            int     // of subsets, so far
 	fleetRate, peak    float64 // answers each second from the mean server; the most that this has been
 	recent             float64 // s; a faster mean
-	answeredAt         Time
+	firstAt,
+	answeredAt Time // of the first answer, and the last
 	least              float64 // s; the least that mean has been
 	evenRate           float64 // the same spread over the whole subset, suspects and cold ones too
 	share              float64 // this node's part of all requests at servers
