--- /dev/null
+++ b/cmd/rig/fleet.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"starlingvalve/internal/standin"
+)
+
+// fleetRig plays a fleet of thousands: a constant load while one server in a hundred is replaced each second, and while a
+// third of the list flaps. What the node spends on it is set beside the same load on twelve servers.
+func fleetRig(ctx context.Context, o *options, args []string) error {
+	fs := flag.NewFlagSet("fleet", flag.ContinueOnError)
+	binary := fs.String("bin", "", "the program; it is built where none is named")
+	many := fs.Int("servers", 10_000, "size of the large fleet: each takes a descriptor of the rig")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	w, err := newWorkshop(ctx, *binary)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	length := 10 * time.Second
+	if o.quick {
+		*many, length = min(*many, 2000), 4*time.Second
+	}
+	idle := map[int]int{}
+	for _, size := range []int{12, *many} {
+		for _, churn := range []string{"still", "replaced", "flapping"} {
+			if size == 12 && churn != "still" {
+				continue
+			}
+			name := fmt.Sprintf("fleet.%d.%s", size, churn)
+			memory, err := o.playFleet(ctx, w, name, size, churn, length)
+			if err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			if churn == "still" {
+				idle[size] = memory
+			}
+		}
+	}
+	o.out.figure("fleet.memory_per_server", float64(idle[*many]-idle[12])/float64(*many-12), "KiB (VmHWM of the idle node)")
+	return ctx.Err()
+}
+
+// playFleet gives the idle node's memory.
+func (o *options) playFleet(ctx context.Context, w *workshop, name string, size int, churn string, length time.Duration) (idle int, err error) {
+	class := scaleClass
+	work := map[string]standin.Work{class.Name: {Time: 2 * time.Millisecond, Bytes: 256}}
+	f, err := newFleet(size, 0, 0, work)
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	n, err := w.node(ctx, w.binary, nodeOptions{name: name, registry: f.registry.Addr, classes: []standin.Class{class}, memoryMB: 192, sockets: 1024,
+		zone: "hall-a", coldFrom: 0.3, coldTime: time.Second})
+	if err != nil {
+		return 0, err
+	}
+	defer n.kill()
+	time.Sleep(time.Second)
+	idle = n.peakMemory()
+	l := &standin.Load{Addr: n.addr, Classes: []standin.Class{class}, Retries: 1, Prefix: "f-", KeepLog: true}
+	done := make(chan struct{})
+	running, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	before := n.cpu()
+	go func() { defer close(done); l.Open(running, 500, 2000) }()
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	next := 0
+	for round := 0; running.Err() == nil; round++ {
+		select {
+		case <-running.Done():
+			continue
+		case <-n.ended:
+			return idle, fmt.Errorf("the node ended: %v\n%s", n.err, n.log.String())
+		case <-tick.C:
+		}
+		var news []standin.Entry
+		switch {
+		case churn == "replaced" && round%2 == 0:
+			// One in a hundred goes, as a machine that is switched off in order, and another comes.
+			for range size / 100 {
+				old := f.servers[next]
+				e := standin.EntryOf(old)
+				e.State = "gone"
+				s, err := standin.NewServer(standin.ServerOptions{Name: fmt.Sprintf("s-%08x", 0x70000000+round*size+next), Zone: "hall-a", Cell: next / 2}, work)
+				if err != nil {
+					return idle, err
+				}
+				f.servers[next] = s
+				time.AfterFunc(2*time.Second, old.Close)
+				f.gone = append(f.gone, old)
+				news = append(news, e, standin.EntryOf(s))
+				next = (next + 1) % size
+			}
+		case churn == "flapping":
+			for _, s := range f.servers[:size/3] {
+				e := standin.EntryOf(s)
+				if round%2 == 0 {
+					e.State = "gone"
+				}
+				news = append(news, e)
+			}
+		default:
+			continue
+		}
+		f.registry.Set(news...)
+	}
+	<-done
+	s := l.Sums()
+	o.out.figure(name+".worth", s.Worth(), "of what was asked")
+	o.out.figure(name+".refused", s.RefusedTries, fmt.Sprintf("of %d requests", s.Orders))
+	o.out.figure(name+".cpu", float64(n.cpu()-before)/float64(length), "cores")
+	o.out.figure(name+".idle_memory", idle, "KiB (VmHWM)")
+	o.out.figure(name+".memory", n.peakMemory(), "KiB (VmHWM)")
+	e := standin.Evidence{Classes: []standin.Class{class}, Answers: l.Log(), Executions: f.executions(), Told: f.registry.Told()}
+	for _, s := range f.gone {
+		e.Executions = append(e.Executions, s.Log()...)
+	}
+	o.out.promise(s.Worth() >= 0.97, "%s: worth %.3f", name, s.Worth())
+	for _, v := range standin.Check(e) {
+		if v.Seen > 0 {
+			o.out.verdicts([]standin.Verdict{v})
+		}
+	}
+	return idle, nil
+}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -36,6 +36,7 @@
 
 var rigs = map[string]rig{
 	"demo":  {"a registry, three servers and a node on loopback, with a small load, until interrupted", demo},
+	"fleet": {"thousands of servers, replaced and flapping, beside twelve", fleetRig},
 	"scale": {"limits and path beside a plain proxy; steps, mixes, overload, a starved node", scale},
 	"rules": {"the four rules under drains, cold starts, silent servers and overload", rules},
 }
--- /dev/null
+++ b/cmd/rig/rig_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/standin"
+)
+
+// capture gives what a report prints.
+func capture(t *testing.T, print func(r *report)) (string, int) {
+	t.Helper()
+	f, err := os.CreateTemp(t.TempDir(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	r := &report{w: f}
+	print(r)
+	text, err := os.ReadFile(f.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text), r.broken
+}
+
+func TestReport(t *testing.T) {
+	text, broken := capture(t, func(r *report) {
+		r.figure("a.rate", 1.25, "requests/s")
+		r.figure("a.refused", 0, "requests")
+		r.promise(true, "a: %d", 1)
+		r.promise(false, "b")
+		r.verdicts([]standin.Verdict{{Promise: "c", Seen: 1}, {Promise: "d", Count: 2, Broken: []string{"x"}}})
+	})
+	want := "a.rate 1.250 requests/s\na.refused 0 requests\nkept a: 1\nBROKEN b\nkept c: 1 cases, 0 broken\nBROKEN d: 0 cases, 2 broken\n    x\n"
+	if text != want || broken != 2 {
+		t.Errorf("%d broken:\n%s\nwant\n%s", broken, text, want)
+	}
+}
+
+func TestUnknownRig(t *testing.T) {
+	for _, args := range [][]string{nil, {"nothing"}, {"scale", "-quick", "-no-such-flag"}} {
+		if code := run(t.Context(), args); code != 2 {
+			t.Errorf("%v: status %d", args, code)
+		}
+	}
+}
+
+// The real program as a process, with the stand-ins round it, serves; the rig's judgement comes from their logs; and
+// nothing is left behind.
+func TestNodeAsAProcess(t *testing.T) {
+	w, err := newWorkshop(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	f, err := newFleet(2, 4, 50, kampklipWork(0.1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	n, err := w.node(t.Context(), w.binary, nodeOptions{name: "n", registry: f.registry.Addr, classes: kampklip, memoryMB: 64, sockets: 256, zone: "z"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &standin.Load{Addr: n.addr, Classes: kampklip, Retries: 2, KeepLog: true}
+	ctx, cancel := contextUntil(t, func() bool { return len(l.Log()) >= 200 })
+	defer cancel()
+	l.Closed(ctx, 4, 0)
+	log := l.Log()
+	served := 0
+	for i := range log {
+		if log[i].Served() {
+			served++
+		}
+	}
+	if served < 190 {
+		t.Errorf("%d of %d served", served, len(log))
+	}
+	e := standin.Evidence{Classes: kampklip, Answers: log, Executions: f.executions(), Told: f.registry.Told()}
+	for _, v := range standin.Check(e) {
+		if v.Count > 0 {
+			t.Error(v)
+		}
+	}
+	if n.peakMemory() == 0 || n.cpu() < 0 {
+		t.Error("no memory is told")
+	}
+	w.Close()
+	select {
+	case <-n.ended:
+	default:
+		t.Error("the node runs on")
+	}
+	if _, err := os.Stat(w.dir); !os.IsNotExist(err) {
+		t.Errorf("%s is left: %v", w.dir, err)
+	}
+	if text := n.log.String(); !strings.Contains(text, "drained") {
+		t.Errorf("it did not end in order: %s", text)
+	}
+}
+
+func TestTailKeepsTheEnd(t *testing.T) {
+	var l tail
+	l.Write(make([]byte, tailLimit))
+	l.Write([]byte("end"))
+	if s := l.String(); len(s) != tailLimit || !strings.HasSuffix(s, "end") {
+		t.Errorf("%d bytes", len(s))
+	}
+}
+
+func TestQuantiles(t *testing.T) {
+	v := []time.Duration{4, 1, 3, 2}
+	if quantile(v, 0.5) != 3 || quantile(v, 1) != 4 || quantile(nil, 0.5) != 0 || v[0] != 4 {
+		t.Error("quantile")
+	}
+	if median([]float64{3, 1, 2}) != 2 || median(nil) != 0 {
+		t.Error("median")
+	}
+}
+
+// contextUntil ends once enough has happened, or too much time has passed.
+func contextUntil(t *testing.T, enough func() bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	go func() {
+		for ctx.Err() == nil && !enough() {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	return ctx, cancel
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -88,7 +88,7 @@
 	return q1, q2
 }
 
-// Handle takes an event and returns what is to be done about it, in order.
+// Handle takes an event and returns what is to be done about it, in order. The next call reuses the slice.
 func (m *Module) Handle(now Time, e Event) []Action {
 	m.now, m.out = now, m.out[:0]
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)} // the only timer in use
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -65,6 +65,7 @@
 type loop struct {
 	module   *decide.Module
 	settings decide.Settings
+	windows  map[string]time.Duration // of keyed classes: how long backends remember a key
 	backends *backends
 	disco    *discovery
 	peers    *peers
@@ -93,7 +94,13 @@
 
 func newLoop(ctx context.Context, c *Config, b *backends, d *discovery, p *peers, log *slog.Logger) *loop {
 	now := time.Now()
-	return &loop{module: decide.New(c.Settings, c.Seed), settings: c.Settings, backends: b, disco: d, peers: p, log: log,
+	windows := map[string]time.Duration{}
+	for _, class := range c.Settings.Classes {
+		if class.Effect == decide.Keyed {
+			windows[class.Name] = class.DedupWindow
+		}
+	}
+	return &loop{windows: windows, module: decide.New(c.Settings, c.Seed), settings: c.Settings, backends: b, disco: d, peers: p, log: log,
 		ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now, base: time.Duration(now.UnixNano()),
 		requests: map[decide.RequestID]*request{}, ready: map[decide.ServerID]bool{}}
 }
@@ -224,11 +231,7 @@
 		r.answer <- answer{status: http.StatusConflict}
 		return
 	}
-	for _, c := range l.settings.Classes {
-		if c.Name == r.arrived.Class && c.Effect == decide.Keyed {
-			r.window = c.DedupWindow
-		}
-	}
+	r.window = l.windows[r.arrived.Class]
 	l.requests[r.arrived.ID] = r
 	r.arrived.Patience = time.Until(r.deadline)
 	l.handle(r.arrived)
