--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -43,6 +43,9 @@
 			}
 		}
 	}
+	if *many <= 12 {
+		return ctx.Err()
+	}
 	o.out.figure("fleet.memory_per_server", float64(idle[*many]-idle[12])/float64(*many-12), "KiB (VmHWM of the idle node)")
 	return ctx.Err()
 }
@@ -116,6 +119,7 @@
 	s := l.Sums()
 	o.out.figure(name+".worth", s.Worth(), "of what was asked")
 	o.out.figure(name+".refused", s.RefusedTries, fmt.Sprintf("of %d requests", s.Orders))
+	o.out.figure(name+".resent", s.Resent, "requests that crossed the close of a kept connection")
 	o.out.figure(name+".cpu", float64(n.cpu()-before)/float64(length), "cores")
 	o.out.figure(name+".idle_memory", idle, "KiB (VmHWM)")
 	o.out.figure(name+".memory", n.peakMemory(), "KiB (VmHWM)")
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -57,8 +58,11 @@
 // clientConn is a connection to a node.
 type clientConn struct {
 	net.Conn
-	r   *bufio.Reader
-	out bytes.Buffer
+	r    *bufio.Reader
+	out  bytes.Buffer
+	used bool // it has carried a request
+
+	answered bool // something of the last answer has come
 }
 
 func dialNode(addr string, limit time.Duration) (*clientConn, error) {
@@ -95,10 +99,22 @@
 	}
 	keep = c.read(a)
 	a.At = time.Now()
+	c.used = true
 	return keep
 }
 
+// crossed tells whether a node has closed a kept connection while a request was on its way to it: the client sends that
+// once more on a new one, as the protocol says. A connection that carried nothing before, or that ends later than a
+// close can cross, has taken the request.
+func (c *clientConn) crossed(used bool, a *Answer, within time.Duration) bool {
+	return used && a.Status == 0 && a.Fault != "" && !c.answered && a.At.Sub(a.Sent) < cmp.Or(within, crossing)
+}
+
+const crossing = 20 * time.Millisecond
+
 func (c *clientConn) read(a *Answer) (keep bool) {
+	_, err := c.r.Peek(1)
+	c.answered = err == nil
 	h, err := readHead(c.r)
 	if err != nil {
 		a.Fault = err.Error()
@@ -144,6 +160,8 @@
 	Retries int    // further tries after a refusal or a break, within the patience
 	Prefix  string // of orders and ids, so that several loads do not meet
 	KeepLog bool   // keep each answer; else only the sums
+	// Crossing is how late the close of a kept connection may be to have crossed a request; 0: 20 ms.
+	Crossing time.Duration
 
 	next   atomic.Int64
 	mu     sync.Mutex
@@ -159,6 +177,7 @@
 type Sums struct {
 	Orders, Served, InAim, Refused, Failed int // Refused and Failed: by the last try
 	RefusedTries, RefusedByNode            int
+	Resent                                 int             // once more, as the node's close of a kept connection crossed them
 	Asked, Got                             float64         // worth
 	Times                                  []time.Duration // of orders served
 	ByClass                                map[string][2]int
@@ -215,13 +234,23 @@
 	began := time.Now()
 	deadline := began.Add(class.Patience)
 	var a Answer
+	resent := false
 	for try := 0; ; try++ {
 		a = Answer{Order: name, ID: fmt.Sprintf("%s.%d", name, try), Class: class.Name, Key: key, Try: try, Deadline: deadline, Sent: time.Now()}
 		c, err := conn()
 		if err != nil {
 			a.At, a.Fault = time.Now(), "no connection: "+err.Error()
 		} else {
+			used := c.used
 			give(c, c.ask(class, &a))
+			if c.crossed(used, &a, l.Crossing) && !resent {
+				resent = true
+				try--
+				l.mu.Lock()
+				l.sums.Resent++
+				l.mu.Unlock()
+				continue
+			}
 		}
 		l.mu.Lock()
 		if l.KeepLog {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -231,3 +231,28 @@
 		}
 	}
 }
+
+// A request that crosses the close of a kept connection is sent once more, under its own id; what is lost on a new
+// connection is lost.
+func TestCrossedRequestIsSentOnceMore(t *testing.T) {
+	class := Class{Name: "order", Method: "POST", Worth: 1, Aim: time.Minute, Patience: time.Minute, Share: 1}
+	for lost, want := range map[int]bool{2: true, 1: false} {
+		var mu sync.Mutex
+		n := 0
+		l := &Load{Classes: []Class{class}, KeepLog: true, Crossing: time.Minute, Addr: answering(t, func(id string) string {
+			mu.Lock()
+			defer mu.Unlock()
+			if n++; n == lost {
+				return ""
+			}
+			return good(id)
+		})}
+		for range lost {
+			l.order(t.Context(), class, l.take, l.give)
+		}
+		log, s := l.Log(), l.Sums()
+		if last := log[len(log)-1]; len(log) != lost || last.Served() != want || (s.Resent == 1) != want {
+			t.Errorf("lost the request %d: %+v, resent %d", lost, log, s.Resent)
+		}
+	}
+}
