--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -250,6 +250,9 @@
 		for range lost {
 			l.order(t.Context(), class, l.take, l.give)
 		}
+		for _, c := range l.idle { // else the stand-in would wait for them
+			c.Close()
+		}
 		log, s := l.Log(), l.Sums()
 		if last := log[len(log)-1]; len(log) != lost || last.Served() != want || (s.Resent == 1) != want {
 			t.Errorf("lost the request %d: %+v, resent %d", lost, log, s.Resent)
