Log through a bounded queue: a reader of stderr that stops no longer freezes the node

Cause: slog wrote to standard error from under the lock that every request takes. With a full 4 KiB pipe and a log line (a server that goes away, a move of discovery) no request was answered any more.

Result: TestUnreadLog (the real program, a pipe filled and unread, a line logged under the lock) is answered and ends on SIGTERM; without the change it hangs until it is killed.

--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"starlingvalve/internal/logqueue"
 	"starlingvalve/internal/node"
 )
 
@@ -21,13 +22,19 @@
 )
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "starlingvalve:", err)
+	// Nothing may wait for whoever reads the log: it is written under locks that every request takes.
+	log := logqueue.New(os.Stderr, 0, 0)
+	err := run(slog.New(slog.NewTextHandler(log, nil)))
+	if err != nil {
+		fmt.Fprintln(log, "starlingvalve:", err)
+	}
+	log.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(log *slog.Logger) error {
 	reload := make(chan os.Signal, 1) // first of all: a SIGHUP that nothing catches ends the process
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -39,5 +46,5 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	return node.Run(ctx, c, reload, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return node.Run(ctx, c, reload, log)
 }
--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 )
 
 // The test binary is the program when this is set.
@@ -81,3 +82,76 @@
 		t.Error(err)
 	}
 }
+
+// Whoever reads the log may stop. The log's lines were once written under the lock that every request takes, so that a
+// full pipe froze the node; and a node that is told to end must end.
+func TestUnreadLog(t *testing.T) {
+	var discovery [2]net.Listener
+	for i := range discovery {
+		var err error
+		if discovery[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		defer discovery[i].Close()
+	}
+	config := func(i int) string {
+		return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{
+		"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile","deadline_ns":1000000000}]}}`, discovery[i].Addr())
+	}
+	cmd, _ := program(t, config(0))
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	cmd.Stderr = w
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	guard := time.AfterFunc(30*time.Second, func() { cmd.Process.Kill() })
+	defer guard.Stop()
+	defer cmd.Process.Kill()
+	line, err := bufio.NewReaderSize(r, 4096).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(line, "listen=")
+	listen, _, _ := strings.Cut(rest, " ")
+
+	// From here on nobody reads, and the pipe is full once this write, which hangs until the pipe is closed, has filled it.
+	const setPipeSize, bytesThere, pipeSize = 1031, 0x541b, 4096 // F_SETPIPE_SZ, FIONREAD
+	if _, _, e := syscall.Syscall(syscall.SYS_FCNTL, r.Fd(), setPipeSize, pipeSize); e != 0 {
+		t.Fatal(e)
+	}
+	filled := make(chan struct{})
+	go func() { defer close(filled); w.Write(make([]byte, 4*pipeSize)) }()
+	defer func() { r.Close(); <-filled }()
+	for there, deadline := int32(0), time.Now().Add(10*time.Second); there < pipeSize; {
+		if _, _, e := syscall.Syscall(syscall.SYS_IOCTL, r.Fd(), bytesThere, uintptr(unsafe.Pointer(&there))); e != 0 || time.Now().After(deadline) {
+			t.Fatal("the pipe does not fill:", there, e)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "GW_CONFIG=")
+	if err := os.WriteFile(path, []byte(config(1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP) // logged under the lock
+	discovery[1].(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
+	if c, err := discovery[1].Accept(); err != nil {
+		t.Error("discovery has not moved:", err)
+	} else {
+		defer c.Close()
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/c", nil)
+	req.Header.Set("X-Correlation-Id", "1")
+	req.Header.Set("X-Time-Left", "1.0")
+	if resp, err := client.Do(req); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("want a refusal, as there are no servers: %v, %v", resp, err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Error("end:", err)
+	}
+}
