Follow a rise by the rate of answers of the last moment: nothing refused at 1,024 at once

Cause: H hangs on a rate of answers smoothed over 3 s, and room by calm answers can't help where the uncrowded latency (50 ms) is itself about what counts as calm (54 ms at an aim of 600 ms): each answer halved it. When 1,024 connections came within 200 ms, n passed R before the rate had followed.

Change: the rate of the last 0.1 s, less three standard deviations of chance, counts where it is higher and the answers come within the delay that H stands for.

--- a/decide/closedloop_test.go
+++ b/decide/closedloop_test.go
@@ -305,6 +305,26 @@
 	}
 }
 
+// 1,024 connections at once, after 64, at servers whose uncrowded latency is as long as what counts as calm: nothing makes
+// room there, and the rate smoothed over seconds is that of the 64. Answers come well within what the aims allow.
+func TestRiseAtSlowServersShedsNothing(t *testing.T) {
+	for _, work := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 65 * time.Millisecond} {
+		v := newVirtual(oneNode(), 8)
+		v.cost = 10 * time.Microsecond
+		v.work = func(ServerID, string) time.Duration {
+			return work + time.Duration(v.rand.ExpFloat64()*float64(work/5))
+		}
+		v.connect(256, 100*time.Millisecond, always("cheap"))
+		v.run(2 * time.Second)
+		v.count()
+		v.connect(768, 200*time.Millisecond, always("cheap"))
+		v.run(2 * time.Second)
+		if c := v.of("cheap"); c.refused > 0 || c.inAim < 20_000 {
+			t.Errorf("%v: %+v", work, *c)
+		}
+	}
+}
+
 // One server of eight becomes 50 times slower; then all become twice as slow.
 func TestSlowServersShedNothing(t *testing.T) {
 	for name, factor := range map[string]func(ServerID) time.Duration{
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,6 +31,8 @@
 	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	rateTau     = 3.0                    // s; smoothing of a server's rate of answers
+	briskTau    = 0.1                    // s; the same over a moment, where answers are many
+	briskDoubt  = 3.0                    // standard deviations of chance taken off that rate
 	staleTau    = 3.0                    // s; a latency that is not renewed drifts to the fleet's mean
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
 	meanTau     = 0.25                   // s; or over so long, where answers are many: a mix is not to swing
@@ -172,10 +174,21 @@
 	}
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
 	want := math.Min(math.Max(queueFactor*m.base, roomyPart*m.allowed()), m.aimed)
+	if m.latencyOf(s) <= want {
+		rate = math.Max(rate, m.briskRate(s))
+	}
 	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
 	return math.Max(math.Max(h, leastWindow/float64(m.set.Nodes)), s.room*decay(m.now-s.roomAt, rateTau))
 }
 
+// briskRate is the rate of answers of the last moment, less what chance may have added. The smoothed rate
+// takes seconds to follow a rise, in which answers that come as fast as the aims want are no overload. Of a
+// server that answers ten times a second, so short a time tells nothing, and this is 0.
+func (m *Module) briskRate(s *server) float64 {
+	k := s.brisk * decay(m.now-s.rateAt, briskTau)
+	return math.Max(0, k-briskDoubt*math.Sqrt(k/2)) / briskTau // k of a Poisson process has the variance k/2
+}
+
 // calm tells whether a server answers long before the aims are in danger, whatever it holds.
 func (m *Module) calm(s *server) bool {
 	return m.learned && math.Max(s.last, m.latencyOf(s)) <= calmPart*m.allowed()
@@ -429,6 +442,7 @@
 		s.imposedUntil += m.jitter(s.backoff)
 		s.unanswered, s.backoff = 0, min(max(2*s.backoff, validity), trialLast)
 	case OK:
+		s.brisk = s.brisk*decay(m.now-s.rateAt, briskTau) + 1
 		s.rate, s.rateAt, s.unanswered = s.rate*decay(m.now-s.rateAt, rateTau)+1/rateTau, m.now, 0
 		s.backoff = 0
 		if !r.started {
@@ -469,7 +483,7 @@
 // startCold gives a cold server's budget a random beginning: a first request from every node at once would be
 // a burst that none of them sees. What an older process answered says nothing of this one.
 func (m *Module) startCold(s *server, at Time) {
-	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, m.random(), m.now, 0
+	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate, s.brisk = true, at, m.random(), m.now, 0, 0
 }
 
 // paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,6 +24,7 @@
 	n, report           float64 // own attempts in flight; requests it last reported to hold
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	last                float64 // s, the last answer's latency, as of a mean request
+	brisk               float64 // own answers lately, each fading with briskTau
 	latencyAt, rateAt   Time
 	since, reportAt     Time // first listed; last report
 	strikes, unanswered int  // failures since the last success; sends since the last answer
