--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -12,8 +12,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"starlingvalve/internal/app"
 	"starlingvalve/internal/logqueue"
-	"starlingvalve/internal/node"
 )
 
 const (
@@ -39,12 +39,12 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	c, err := node.LoadConfig(os.Getenv)
+	c, err := app.LoadConfig(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	return node.Run(ctx, c, reload, log)
+	return app.Run(ctx, c, reload, log)
 }
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,123 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"starlingvalve/internal/core"
+	"starlingvalve/internal/front"
+	"starlingvalve/internal/front/http1"
+	"starlingvalve/internal/member/registry"
+	"starlingvalve/internal/peer"
+	upstream "starlingvalve/internal/upstream/http1"
+)
+
+const (
+	// Of the descriptors, a few are the process's own; clients' connections get this part of the rest, and
+	// backends what remains. Bodies that are being read or held get their part of the memory.
+	ownSockets = 24
+	clientPart = 0.6
+	bodyPart   = 1.0 / 8
+
+	// SIGKILL comes killAfter after SIGTERM and the longest deadline, which counts for drainLongest at most.
+	drainLongest = 3 * time.Second
+	killAfter    = 700 * time.Millisecond
+	killMargin   = 200 * time.Millisecond // kept from that: the last answers have left by then
+)
+
+// Run serves until ctx ends and what has been taken by then is answered. On reload it reads the configuration again.
+func Run(ctx context.Context, c *Config, reload <-chan os.Signal, log *slog.Logger) error {
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Listen))
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return serve(ctx, c, tcp, reload, log)
+}
+
+func serve(ctx context.Context, c *Config, tcp *net.TCPListener, reload <-chan os.Signal, log *slog.Logger) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	room := c.Limits.Sockets - ownSockets
+	clients := int(float64(room) * clientPart)
+	var p *peer.Peers
+	var messenger core.Messenger
+	if c.PeerListen.IsValid() && c.Settings.MayMessage {
+		var err error
+		if p, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Self, log); err != nil {
+			tcp.Close()
+			return err
+		}
+		messenger = p
+	}
+	transport := upstream.New(c.Settings, c.Limits.MemoryMB, room-clients, log)
+	loop, err := core.New(inner, core.Options{Settings: c.Settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, log),
+		Messenger: messenger, Log: log})
+	if err != nil {
+		tcp.Close()
+		return err
+	}
+	handler := front.NewHandler(loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
+	var clientFront core.Front = http1.New(tcp, clients, handler, log)
+
+	var running sync.WaitGroup
+	running.Go(func() { loop.Run(c.Known) })
+	running.Go(func() { transport.Run(inner) })
+	if p != nil {
+		running.Go(func() { p.Write(inner) })
+		running.Go(func() { p.Read(loop.Heard) })
+	}
+	served := make(chan error, 1)
+	running.Go(func() { served <- clientFront.Serve() })
+	running.Go(func() { follow(inner, c, loop, reload, log) })
+	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
+
+	select {
+	case err = <-served:
+		err = fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+		log.Info("draining")
+		clientFront.Drain(time.Now().Add(c.drainTime()))
+		log.Info("drained")
+	}
+	stop()
+	clientFront.Close()
+	running.Wait()
+	return err
+}
+
+// drainTime is how long after SIGTERM the last answers have left: before the node may be killed.
+func (c *Config) drainTime() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, drainLongest) + killAfter - killMargin
+}
+
+// follow reads the configuration again whenever it is told to, until ctx ends. A bad one changes nothing; of a good
+// one discovery's address takes effect, what else is new in it at the next start.
+func follow(ctx context.Context, c *Config, loop *core.Loop, asked <-chan os.Signal, log *slog.Logger) {
+	at := c.Discovery
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		next, err := c.reread()
+		if err != nil {
+			log.Error("configuration not taken", "err", err)
+			continue
+		}
+		if next.Discovery != at {
+			at = next.Discovery
+			log.Info("discovery moves", "to", at)
+			loop.Move(registry.New(at, log))
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/app_test.go
@@ -0,0 +1,80 @@
+package app
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/testkit"
+)
+
+// node is a running node.
+type testNode struct {
+	addr  string
+	hup   chan os.Signal
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func start(t *testing.T, c *Config) *testNode {
+	t.Helper()
+	// The listener is handed over: a port that is chosen, freed and taken again may be another's in between.
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits = Limits{Cores: 1, MemoryMB: 192, Sockets: 256}
+	}
+	if !c.Discovery.IsValid() {
+		c.Discovery = netip.MustParseAddrPort(testkit.Server(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{addr: tcp.Addr().String(), hup: make(chan os.Signal), stop: stop, ended: make(chan error, 1)}
+	go func() { n.ended <- serve(ctx, c, tcp, n.hup, testkit.Quiet); close(n.ended) }()
+	t.Cleanup(func() { stop(); <-n.ended })
+	return n // connections wait in the listener's queue until it serves
+}
+
+var ids atomic.Int64
+
+func message(class, left, body string) string {
+	method, key := "GET", ""
+	if class != "read" {
+		method = "POST"
+	}
+	if class == "tag" {
+		key = "Idempotency-Key: k\r\n"
+	}
+	return fmt.Sprintf("%s /%s?obj=a%%2fb HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: id%d\r\n%sX-Time-Left: %s\r\nContent-Length: %d\r\n\r\n%s",
+		method, class, ids.Add(1), key, left, len(body), body)
+}
+
+// ask sends text on a connection of its own and reads one answer.
+func (n *testNode) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testkit.Patient))
+	io.WriteString(c, text)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("the answer is cut short: %v", err)
+	}
+	return resp, string(body)
+}
--- /dev/null
+++ b/internal/app/clients_test.go
@@ -0,0 +1,307 @@
+package app
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/testkit"
+)
+
+func TestServesUnchanged(t *testing.T) {
+	t.Parallel()
+	want := strings.Repeat("\x00é\r\n", 4000)
+	seen := make(chan string, 10)
+	addr := testkit.Server(t, testkit.Answering(func(r *http.Request, body []byte) string {
+		seen <- fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get("Idempotency-Key"), " ", r.Header.Get("X-Correlation-Id") != "", " ", string(body))
+		return testkit.OK(want)
+	}))
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	for class, line := range map[string]string{"read": "GET /read?obj=a%2fb  true ", "tag": "POST /tag?obj=a%2fb k true B", "order": "POST /order?obj=a%2fb  true B"} {
+		body := "B"
+		if class == "read" {
+			body = ""
+		}
+		resp, got := n.ask(t, message(class, "9.5", body))
+		if resp.StatusCode != 200 || got != want {
+			t.Errorf("%s: status %d, %d bytes", class, resp.StatusCode, len(got))
+		}
+		if got := <-seen; got != line {
+			t.Errorf("the backend got %q, want %q", got, line)
+		}
+	}
+}
+
+// What is no request gets a 4xx or 5xx that is no refusal, nothing goes to a backend, and the connection is closed:
+// what comes after it may have stood inside a body.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	var passed atomic.Int64
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { passed.Add(1); return testkit.OK("x") }))
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	const host, id, left, key, none = "Host: h\r\n", "X-Correlation-Id: q\r\n", "X-Time-Left: 9\r\n", "Idempotency-Key: k\r\n", "Content-Length: 0\r\n"
+	const get, post, head, end = "GET /read HTTP/1.1\r\n", "POST /order HTTP/1.1\r\n", host + id + left, "\r\n"
+	hidden := post + "Host: h\r\nX-Correlation-Id: hidden\r\n" + left + none + end
+	for text, want := range map[string]int{
+		"\x16\x03\x01\r\n\r\n":                                                                                        400,
+		get + host + left + end:                                                                                       400,
+		get + host + id + id + left + end:                                                                             400,
+		get + host + "X-Correlation-Id: \r\n" + left + end:                                                            400,
+		get + host + id + end:                                                                                         400,
+		get + head + left + end:                                                                                       400,
+		get + host + id + "X-Time-Left: NaN\r\n" + end:                                                                400,
+		get + host + id + "X-Time-Left: soon\r\n" + end:                                                               400,
+		get + host + id + "X-Time-Left: -5\r\n" + end:                                                                 400,
+		get + host + id + "X-Time-Left: 0x10\r\n" + end:                                                               400,
+		get + host + id + "X-Time-Left: 1e3\r\n" + end:                                                                400,
+		get + host + id + "X-Time-Left: .\r\n" + end:                                                                  400,
+		get + head + "Content-Length: 1\r\n" + end + "x":                                                              400,
+		get + head + key + end:                                                                                        400,
+		"POST /tag HTTP/1.1\r\n" + head + none + end:                                                                  400,
+		"POST /tag HTTP/1.1\r\n" + head + key + key + none + end:                                                      400,
+		"POST /tag HTTP/1.1\r\n" + head + "Idempotency-Key:\r\n" + none + end:                                         400,
+		post + head + key + none + end:                                                                                400,
+		post + head + "Content-Length: -1\r\n" + end:                                                                  400,
+		post + head + "Content-Length: x\r\n" + end:                                                                   400,
+		post + head + "Content-Length: 3\r\nContent-Length: 4\r\n" + end + "abcd":                                     400,
+		post + head + "Content-Length: 99999999999999999999\r\n" + end:                                                400,
+		post + head + "Content-Length: 99999999999\r\n" + end:                                                         413,
+		post + head + "Content-Length: 70000\r\n" + end + strings.Repeat("b", 70000):                                  413,
+		post + head + "Transfer-Encoding: chunked\r\n" + end + "zz\r\n\r\n":                                           411,
+		post + head + "Transfer-Encoding: chunked\r\n" + end + "0\r\n\r\n":                                            411,
+		post + head + "Transfer-Encoding: chunked\r\n" + none + end + "0\r\n\r\n" + hidden:                            411,
+		post + head + fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n", len(hidden)) + end + hidden: 411,
+		"POST /order HTTP/1.0\r\n" + head + "Transfer-Encoding: chunked\r\n" + none + end:                             505,
+		"GET /order HTTP/1.1\r\n" + head + end:                                                                        405,
+		"POST /read HTTP/1.1\r\n" + head + none + end:                                                                 405,
+		"DELETE /read HTTP/1.1\r\n" + head + end:                                                                      405,
+		"POST /unheard-of HTTP/1.1\r\n" + head + none + end:                                                           404,
+		"GET / HTTP/1.1\r\n" + host + end:                                                                             404,
+		"OPTIONS * HTTP/1.1\r\n" + host + end:                                                                         404,
+		"GET /favicon.ico HTTP/1.1\r\n" + host + end:                                                                  404,
+		"GET /health/other HTTP/1.1\r\n" + host + end:                                                                 404,
+		get + host + strings.Repeat("X-Pad: p\r\n", 1<<12) + end:                                                      431,
+	} {
+		c, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(testkit.Patient))
+		io.WriteString(c, text+hidden)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%.200q: %v", text, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != want || !resp.Close {
+			t.Errorf("%.200q: status %d, want %d; closes: %v", text, resp.StatusCode, want, resp.Close)
+		}
+		if more, err := io.ReadAll(r); len(more) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%.200q: another answer %q, %v", text, more, err)
+		}
+		c.Close()
+	}
+	if passed.Load() > 0 {
+		t.Errorf("%d came to the backend", passed.Load())
+	}
+	odd := post + head + "X-Weight-Hint: -1e400\r\nX-Facts: ,=,write\r\n" + none + end
+	if resp, _ := n.ask(t, odd); resp.StatusCode != 200 {
+		t.Errorf("odd hints: status %d", resp.StatusCode)
+	}
+}
+
+// Silent connections, heads and bodies without end are closed or answered within 3 s, and hundreds of them shut
+// nobody out; nor do connections that have asked once and stay.
+func TestSilentClients(t *testing.T) {
+	t.Parallel()
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("x") }))
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr), Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: leastSockets}})
+	stuck := message("order", "9.5", "abc")
+	stuck = stuck[:len(stuck)-1]
+	var waiting sync.WaitGroup
+	for i := range 100 {
+		text := []string{"", "GET /re", "GET /read HTTP/1.1\r\nX: y\r\n", stuck, message("read", "9.5", "")}[i%5]
+		c, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		waiting.Go(func() {
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(testkit.Patient))
+			if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%.20q is left open", text)
+			}
+		})
+	}
+	for end := time.Now().Add(testkit.Patient); ; time.Sleep(50 * time.Millisecond) { // long before they would time out
+		if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode == 200 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("shut out")
+		}
+	}
+	waiting.Wait()
+}
+
+// When the client goes, its attempt's connection is closed, so that the backend can stop.
+func TestClientGone(t *testing.T) {
+	t.Parallel()
+	came, gone := make(chan struct{}), make(chan struct{})
+	addr := testkit.Server(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		close(came)
+		r.ReadByte()
+		close(gone)
+	})
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, message("order", "9.5", "b"))
+	<-came
+	c.Close()
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second): // its patience is longer
+		t.Error("the attempt goes on")
+	}
+}
+
+// An id that is open is not taken again: the module would never answer it, and it could run twice.
+func TestSameIDTwice(t *testing.T) {
+	t.Parallel()
+	came, let := make(chan struct{}, 9), make(chan struct{})
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { came <- struct{}{}; <-let; return testkit.OK("x") }))
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	text := message("order", "9.5", "b")
+	first := make(chan int)
+	go func() { resp, _ := n.ask(t, text); first <- resp.StatusCode }()
+	<-came
+	if resp, _ := n.ask(t, text); resp.StatusCode != http.StatusConflict {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	close(let)
+	if status := <-first; status != 200 || len(came) > 0 {
+		t.Errorf("status %d, %d more at the backend", status, len(came))
+	}
+}
+
+// SIGTERM loses nothing: what is held is answered, what comes for a moment more is served, a connection that
+// clients have goes on until the last call, and then the node ends.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	came, let := make(chan struct{}, 1), make(chan struct{})
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string {
+		select {
+		case came <- struct{}{}:
+		case <-let:
+		}
+		<-let
+		return testkit.OK("x")
+	}))
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	held := make(chan *http.Response)
+	go func() { resp, _ := n.ask(t, message("order", "9.5", "b")); held <- resp }()
+	<-came
+	idle, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	n.stop()
+	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+		if resp, _ := n.ask(t, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode == 503 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("still ready")
+		}
+	}
+	late := make(chan *http.Response)
+	go func() { resp, _ := n.ask(t, message("read", "9.5", "")); late <- resp }()
+	<-came
+	close(let)
+	for _, c := range []chan *http.Response{held, late} {
+		if resp := <-c; resp.StatusCode != 200 || resp.Close {
+			t.Errorf("status %d, closes: %v", resp.StatusCode, resp.Close)
+		}
+	}
+	kept, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	kept.SetDeadline(time.Now().Add(testkit.Patient))
+	r, served := bufio.NewReader(kept), 0
+	for { // past the time in which connections are accepted; the last answer closes
+		io.WriteString(kept, message("read", "9.5", ""))
+		resp, err := http.ReadResponse(r, nil)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+		if err != nil { // closed between two requests
+			break
+		}
+		io.Copy(io.Discard, resp.Body)
+		if again, err := net.Dial("tcp", n.addr); err == nil {
+			again.Close()
+		} else {
+			served++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if served < 10 {
+		t.Errorf("%d served after the listener had closed", served)
+	}
+	select {
+	case err := <-n.ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(testkit.Patient):
+		t.Error("the node does not end")
+	}
+}
+
+// At its bounds a node refuses at once, and each connection that it has accepted gets an answer.
+func TestBounds(t *testing.T) {
+	t.Parallel()
+	let := make(chan struct{})
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { <-let; return testkit.OK("x") }))
+	c := &Config{Settings: testkit.Settings(), Known: testkit.Known(addr), Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: leastSockets}}
+	c.Settings.MaxOpen = 1
+	n := start(t, c)
+	statuses := make(chan int, 60)
+	for range cap(statuses) {
+		go func() {
+			resp, _ := n.ask(t, message("read", "9.5", ""))
+			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("no Retry-After")
+			}
+			statuses <- resp.StatusCode
+		}()
+	}
+	count := map[int]int{}
+	for range cap(statuses) - 1 {
+		count[<-statuses]++
+	}
+	close(let)
+	count[<-statuses]++
+	if count[503] != cap(statuses)-1 || count[200] != 1 {
+		t.Errorf("statuses %v", count)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/app/config.go
@@ -1,7 +1,5 @@
-// Package node is a real node round the decision module: it serves clients,
-// talks to backends, discovery and peers, and leaves every decision to package
-// decide.
-package node
+// Package app assembles a node from its configuration. It is the only package that knows all others.
+package app
 
 import (
 	"encoding/json"
@@ -12,6 +10,8 @@
 	"strconv"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/core"
+	"starlingvalve/internal/member/registry"
 	"starlingvalve/internal/wire"
 )
 
@@ -32,7 +32,7 @@
 	PeerListen,
 	PeersAll netip.AddrPort // invalid where nodes don't talk
 	Peers    []netip.AddrPort
-	Known    list // the backends as this node last had them
+	Known    core.List // the backends as this node last had them
 	Settings decide.Settings
 
 	reread func() (*Config, error)
@@ -132,7 +132,7 @@
 		return nil, fmt.Errorf("%s: limits: want %d sockets and %d MB of memory at least, have %+v", path, leastSockets, leastMemoryMB, c.Limits)
 	}
 	if in.Known != nil {
-		if c.Known, err = decodeList(in.Known); err != nil {
+		if c.Known, err = registry.Decode(in.Known); err != nil {
 			return nil, fmt.Errorf("%s: known: %w", path, err)
 		}
 	}
--- /dev/null
+++ b/internal/app/discovery_test.go
@@ -0,0 +1,140 @@
+package app
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/core"
+	"starlingvalve/internal/testkit"
+)
+
+// registryOf is discovery as a test wants it: it answers call n with what says, and tells of each call.
+func registryOf(t *testing.T, says func(n int, query url.Values) string) netip.AddrPort {
+	var calls atomic.Int64
+	return netip.MustParseAddrPort(testkit.Server(t, testkit.Answering(func(r *http.Request, _ []byte) string {
+		return says(int(calls.Add(1)), r.URL.Query())
+	})))
+}
+
+func jsonList(version int, full bool, state, addr string) string {
+	return testkit.OK(fmt.Sprintf(`{"version":%d,"full":%v,"servers":[{"id":"s-00000001","addr":%q,"zone":"z","kind":"k","cell":1,"state":%q,"weight":1,"started_ms":0}]}`,
+		version, full, addr, state))
+}
+
+func (n *testNode) waitReady(t *testing.T, want int) {
+	t.Helper()
+	for end := time.Now().Add(testkit.Patient); ; time.Sleep(5 * time.Millisecond) {
+		resp, _ := n.ask(t, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+		if resp.StatusCode == want {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("ready answers %d, want %d", resp.StatusCode, want)
+		}
+	}
+}
+
+// A list that makes no sense is a failed call and no crash; the module asks again, and the watch goes on from
+// the version it has. A drain is followed.
+func TestDiscovery(t *testing.T) {
+	t.Parallel()
+	for _, pushed := range []bool{false, true} {
+		var got atomic.Int64
+		addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { got.Add(1); return testkit.OK("x") }))
+		drain := make(chan struct{})
+		c := &Config{Settings: testkit.Settings(), Known: core.List{Version: 1}}
+		c.Settings.AskForList = !pushed
+		c.Discovery = registryOf(t, func(n int, q url.Values) string {
+			switch n {
+			case 1:
+				return testkit.OK(`{"version":"x"`)
+			case 2:
+				return jsonList(5, false, "asleep", addr)
+			case 3:
+				return "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+			case 4:
+				if q.Get("since") != "1" {
+					t.Errorf("since %q, want 1", q.Get("since"))
+				}
+				return jsonList(7, true, "ready", addr)
+			case 5:
+				if q.Get("since") != "7" {
+					t.Errorf("since %q, want 7", q.Get("since"))
+				}
+				<-drain
+				return jsonList(8, false, "draining", addr)
+			}
+			return ""
+		})
+		n := start(t, c)
+		n.waitReady(t, 503)
+		n.waitReady(t, 200)
+		if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode != 200 {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+		close(drain)
+		n.waitReady(t, 503)
+		if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode != 503 || got.Load() != 1 {
+			t.Errorf("status %d, %d requests at a draining backend", resp.StatusCode, got.Load()-1)
+		}
+		n.stop()
+	}
+}
+
+// On SIGHUP discovery is asked at its new address, for the whole list at once: the versions there need not go on from
+// the old ones, and the watch at the old address hangs. A bad file changes nothing. Reloads in a row do no harm.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	for _, pushed := range []bool{false, true} {
+		addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("x") }))
+		hang, hung := make(chan struct{}), make(chan struct{}, 9)
+		c := &Config{Settings: testkit.Settings(), Known: core.List{Version: 40}}
+		c.Settings.AskForList = !pushed
+		c.Discovery = registryOf(t, func(_ int, q url.Values) string {
+			hung <- struct{}{}
+			<-hang
+			return ""
+		})
+		calls := make(chan string, 99)
+		to := registryOf(t, func(n int, q url.Values) string {
+			calls <- q.Get("since")
+			if n == 1 {
+				return jsonList(7, true, "ready", addr)
+			}
+			<-hang
+			return ""
+		})
+		files := make(chan error)
+		c.reread = func() (*Config, error) {
+			if err := <-files; err != nil {
+				return nil, err
+			}
+			return &Config{Discovery: to}, nil
+		}
+		n := start(t, c)
+		<-hung
+		n.hup <- syscall.SIGHUP
+		files <- errors.New("bad")
+		n.waitReady(t, 503)
+		for range 3 {
+			n.hup <- syscall.SIGHUP
+			files <- nil
+		}
+		n.waitReady(t, 200)
+		if first, second := <-calls, <-calls; first != "" || second != "7" {
+			t.Errorf("pushed: %v: asked since %q and %q", pushed, first, second)
+		}
+		n.stop()
+		close(hang)
+		if err := <-n.ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/node/lag.go
+++ b/internal/core/lag.go
@@ -1,4 +1,4 @@
-package node
+package core
 
 import (
 	"os"
--- a/internal/node/lag_test.go
+++ b/internal/core/lag_test.go
@@ -1,4 +1,4 @@
-package node
+package core
 
 import (
 	"runtime"
@@ -60,44 +60,3 @@
 		t.Errorf("%v of 100 ms", got)
 	}
 }
-
-// queryValue finds what url.Values.Get finds.
-func TestQueryValue(t *testing.T) {
-	for query, want := range map[string]string{"": "", "obj=7f": "7f", "a=1&obj=x%20y&obj=2": "x y", "o%62j=z": "z", "obj": "", "objx=1": "",
-		"obj=a;b": "", "obj=%zz&obj=ok": "ok", "a=b+c&obj=b+c": "b c"} {
-		if got := queryValue(query, "obj"); got != want {
-			t.Errorf("%q: %q, want %q", query, got, want)
-		}
-	}
-}
-
-// A list of thousands: each change costs what changed, an address that is taken over is found at once, and at the bound the
-// connection that has been idle longest makes room.
-func TestManyHosts(t *testing.T) {
-	b := newBackends(&Config{Settings: settings(), Limits: Limits{MemoryMB: 192}}, 10, quiet)
-	l := known(make([]string, 10_000)...)
-	for i := range l.entries {
-		l.entries[i].addr = "127.0.0.1:" + time.Duration(i).String()
-	}
-	b.update(l)
-	b.update(l)
-	if len(b.hosts) != 10_000 || len(b.byAddr) != 10_000 {
-		t.Errorf("%d hosts, %d addresses", len(b.hosts), len(b.byAddr))
-	}
-	b.update(list{full: true, entries: l.entries[:5000]})
-	if len(b.hosts) != 5000 || len(b.byAddr) != 5000 {
-		t.Errorf("%d hosts, %d addresses", len(b.hosts), len(b.byAddr))
-	}
-}
-
-func BenchmarkFullListOfHosts(b *testing.B) {
-	hosts := newBackends(&Config{Settings: settings(), Limits: Limits{MemoryMB: 192}}, 10, quiet)
-	l := known(make([]string, 10_000)...)
-	for i := range l.entries {
-		l.entries[i].addr = "127.0.0.1:" + time.Duration(i).String()
-	}
-	b.ReportAllocs()
-	for range b.N {
-		hosts.update(l)
-	}
-}
--- /dev/null
+++ b/internal/core/ports.go
@@ -0,0 +1,130 @@
+// Package core is the loop that owns the decision module, and the ports through which it meets the world: fronts bring
+// clients' requests, transports carry attempts to servers, membership tells which servers there are. It knows none of them.
+package core
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// Front serves clients by one protocol. It hands each request that is well formed to Loop.Do, and writes the one
+// answer that it gets.
+type Front interface {
+	// Serve takes requests until Close, or until a Drain is complete. What it returns before either is an error.
+	Serve() error
+	// Drain takes no new clients after a moment, answers what there is by end, and returns once that is done. Requests
+	// that come on connections that clients have are served for as long as an answer can come by end.
+	Drain(end time.Time)
+	// Close ends Serve at once, and all connections with it.
+	Close()
+}
+
+// Transport carries attempts and probes to servers. It never sends a request twice by itself.
+type Transport interface {
+	// Update follows the list, before the module does: nothing goes where the list says no.
+	Update(List)
+	// Find gives the server of that id as it is listed now, or nil. It stays that process: after a restart or a
+	// move it answers decide.ConnectFailed.
+	Find(decide.ServerID) Server
+	// CloseIdle closes the idle connections to a server.
+	CloseIdle(decide.ServerID)
+}
+
+// Server is one listed server of a Transport.
+type Server interface {
+	// Do makes one attempt and blocks until it has ended, by x.Deadline at the latest. An end of ctx calls it off.
+	Do(ctx context.Context, x *Exchange) Result
+	// Probe asks the server how it is, at a path of the protocol.
+	Probe(ctx context.Context, path string) Result
+}
+
+// Membership tells which servers there are.
+type Membership interface {
+	// Fetch gives the whole list once.
+	Fetch(ctx context.Context) (List, error)
+	// Watch hands on what is newer than a version (all, if nil), the first answer even if it holds nothing, until a
+	// call fails or ctx ends.
+	Watch(ctx context.Context, since *uint64, news func(List)) error
+	// Follow is a Watch that is begun again whenever it fails, until ctx ends.
+	Follow(ctx context.Context, since *uint64, news func(List))
+	// Close lets go of what is kept between calls.
+	Close()
+}
+
+// Messenger carries datagrams to other nodes of the tier, perhaps. It never blocks.
+type Messenger interface {
+	Send(to int, toAll bool, data []byte)
+}
+
+type noMessenger struct{}
+
+func (noMessenger) Send(int, bool, []byte) {}
+
+// List is what membership tells: all servers, or those that changed.
+type List struct {
+	Version uint64
+	Full    bool
+	Entries []Entry
+}
+
+// Entry is a server of a List.
+type Entry struct {
+	decide.Server
+	Addr string // IP:port
+}
+
+// Exchange is one request as it goes to a server.
+type Exchange struct {
+	Method   string
+	URL      *url.URL
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time // the node waits no longer
+	WriteBy  time.Time // if set, nothing is written from then on
+}
+
+// Result is how an exchange ended.
+type Result struct {
+	Code   decide.OutcomeCode
+	At     time.Time // the exchange was over
+	Report *decide.Report
+	Header http.Header
+	Body   []byte
+	Client int // the status of an answer that puts the fault with the client; 0: none
+	Err    error
+}
+
+var errUnlisted = errors.New("the server is not listed any more")
+
+// Answer is a request's final answer.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Body    []byte
+	HoldOff time.Duration // when the client may come back; 0: not told
+	Reason  decide.Reason // of a refusal
+}
+
+// Request is a client's request as a front has read it, checked.
+type Request struct {
+	Arrived  decide.RequestArrived // but for Patience
+	Deadline time.Time             // the client has its answer by then
+	Method   string
+	URL      *url.URL
+	Header   http.Header // end to end
+	Body     []byte
+
+	// The rest belongs to the loop.
+	answer   chan Answer // holds one: the final answer
+	arriving bool        // in the front's own goroutine, which can make the first attempt itself
+	attempt  func()      // that attempt
+	over     bool
+	out      int
+	attempts []*attempt
+	window   time.Duration // for keyed ones: how long servers remember the key
+}
--- /dev/null
+++ b/internal/core/ports_test.go
@@ -0,0 +1,226 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+const patient = 20 * time.Second
+
+// fakes are all ports at once; each call on them is told.
+type fakes struct {
+	calls chan string
+	reply chan Result // of Do; without one it lasts until it is called off
+	lists chan List   // of Watch and Follow
+}
+
+func newFakes() *fakes {
+	return &fakes{calls: make(chan string, 100), reply: make(chan Result, 10), lists: make(chan List, 10)}
+}
+
+func (f *fakes) Update(l List)                { f.calls <- fmt.Sprint("update ", l.Version) }
+func (f *fakes) CloseIdle(id decide.ServerID) { f.calls <- fmt.Sprint("close ", id) }
+func (f *fakes) Find(id decide.ServerID) Server {
+	if id != 1 {
+		return nil
+	}
+	return f
+}
+
+func (f *fakes) Do(ctx context.Context, x *Exchange) Result {
+	f.calls <- "do " + x.URL.Path
+	select {
+	case r := <-f.reply:
+		return r
+	case <-ctx.Done():
+		f.calls <- "called off"
+		return Result{Code: decide.Cancelled, Err: ctx.Err()}
+	}
+}
+
+func (f *fakes) Probe(_ context.Context, path string) Result {
+	f.calls <- "probe " + path
+	return Result{Code: decide.OK}
+}
+
+func (f *fakes) Fetch(context.Context) (List, error) {
+	f.calls <- "fetch"
+	return List{Version: 3, Full: true, Entries: oneServer}, nil
+}
+
+func (f *fakes) Watch(ctx context.Context, since *uint64, news func(List)) error {
+	from := "nothing"
+	if since != nil {
+		from = fmt.Sprint(*since)
+	}
+	f.calls <- "watch from " + from
+	for {
+		select {
+		case l := <-f.lists:
+			news(l)
+		case <-ctx.Done():
+			f.calls <- "watch ended"
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *fakes) Follow(ctx context.Context, since *uint64, news func(List)) {
+	f.Watch(ctx, since, news)
+}
+func (f *fakes) Close() { f.calls <- "close membership" }
+func (f *fakes) Send(to int, toAll bool, data []byte) {
+	f.calls <- fmt.Sprintf("send %d %v %s", to, toAll, data)
+}
+
+// expect waits for a call, past others.
+func (f *fakes) expect(t *testing.T, want string) {
+	t.Helper()
+	end := time.After(patient)
+	for {
+		select {
+		case got := <-f.calls:
+			if got == want {
+				return
+			}
+		case <-end:
+			t.Fatalf("%q does not come", want)
+		}
+	}
+}
+
+var oneServer = []Entry{{Addr: "127.0.0.1:1", Server: decide.Server{ID: 1, Zone: "z", State: decide.Ready, Size: 1}}}
+
+func loopSettings() decide.Settings {
+	return decide.Settings{Nodes: 1, Zone: "z", Zones: []string{"z"}, MaxAttempts: 4, MayCancel: true, MayMessage: true, MayProbe: true,
+		ConnectTimeout: time.Second, ReportVia: decide.ReportProbe, AskWithin: 10 * time.Second, AskForList: true,
+		Classes: []decide.Class{{Name: "read", Worth: 1, Aim: time.Second, Deadline: 10 * time.Second, Effect: decide.Safe},
+			{Name: "order", Worth: 1, Aim: time.Second, Deadline: 10 * time.Second, Effect: decide.Unsafe}}}
+}
+
+func running(t *testing.T, s decide.Settings, f *fakes) *Loop {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := New(ctx, Options{Settings: s, Seed: 1, Transport: f, Members: f, Messenger: f, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); l.Run(List{Version: 1, Entries: oneServer}) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l
+}
+
+func ask(class, id string, wait time.Duration) *Request {
+	return &Request{Arrived: decide.RequestArrived{ID: decide.RequestID(id), Class: class}, Deadline: time.Now().Add(wait), Method: http.MethodGet,
+		URL: &url.URL{Path: "/" + class, Host: "h"}}
+}
+
+// Every action works, also those that the module does not use today.
+func TestActions(t *testing.T) {
+	t.Parallel()
+	f := newFakes()
+	l := running(t, loopSettings(), f)
+	act := func(a decide.Action) { l.post(func() { l.do(a) }) }
+	act(decide.Probe{Server: 1})
+	f.expect(t, "probe /stats")
+	act(decide.Probe{Server: 9}) // nobody
+	act(decide.CloseIdle{Server: 1})
+	f.expect(t, "close 1")
+	act(decide.FetchList{})
+	f.expect(t, "fetch")
+	f.expect(t, "update 3")
+	act(decide.Subscribe{On: true})
+	f.expect(t, "watch from 3")
+	f.lists <- List{Version: 4}
+	f.expect(t, "update 4")
+	act(decide.Subscribe{On: false})
+	f.expect(t, "watch ended")
+	act(decide.SendMessage{To: 1, Data: []byte("one")})
+	f.expect(t, "send 1 false one")
+	act(decide.Log{Line: "line"})
+
+	answered := make(chan Answer, 1)
+	go func() { a, _ := l.Do(t.Context(), ask("order", "q", patient)); answered <- a }()
+	f.expect(t, "do /order")
+	if a, _ := l.Do(t.Context(), ask("order", "q", patient)); a.Status != http.StatusConflict {
+		t.Errorf("the same id again: status %d", a.Status)
+	}
+	act(decide.CancelAttempt{ID: "q", Attempt: 7})
+	act(decide.CancelAttempt{ID: "q", Attempt: 0})
+	f.expect(t, "called off")
+	if a := <-answered; a.Status != http.StatusBadGateway {
+		t.Errorf("status %d: a cancelled attempt may have run", a.Status)
+	}
+	act(decide.Send{ID: "q", Server: 1}) // over: answered with Moot, and nothing is sent
+	act(decide.Refuse{ID: "q"})
+	act(decide.Fail{ID: "nobody"})
+	fired := make(chan struct{})
+	l.post(func() { l.do(decide.SetTimer{After: time.Millisecond, Token: 9}); close(fired) })
+	<-fired
+	for left := true; left; time.Sleep(time.Millisecond) {
+		l.post(func() {
+			left = false
+			for _, timer := range l.timers {
+				left = left || timer.token == 9
+			}
+		})
+	}
+}
+
+// A client that goes calls off its attempt, and nobody is answered. One that waits is answered by its deadline even if
+// its server says nothing, and an id may be used again once its request is over.
+func TestDoEnds(t *testing.T) {
+	t.Parallel()
+	f := newFakes()
+	l := running(t, loopSettings(), f)
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan bool, 1)
+	go func() { _, ok := l.Do(ctx, ask("order", "q", patient)); gone <- ok }()
+	f.expect(t, "do /order")
+	cancel()
+	f.expect(t, "called off")
+	if <-gone {
+		t.Error("a client that has gone is answered")
+	}
+	for l.holds("q") {
+		time.Sleep(time.Millisecond)
+	}
+	f.reply <- Result{Code: decide.OK, Body: []byte("x")}
+	if a, ok := l.Do(t.Context(), ask("order", "q", patient)); !ok || a.Status != 200 || string(a.Body) != "x" {
+		t.Errorf("%+v, %v", a, ok)
+	}
+	began := time.Now()
+	if a, ok := l.Do(t.Context(), ask("order", "r", 50*time.Millisecond)); !ok || a.Status < 500 || a.Status == 503 || time.Since(began) > patient/2 {
+		t.Errorf("after %v: %+v, %v; an unsafe request that may have run has failed", time.Since(began), a, ok)
+	}
+}
+
+func (l *Loop) holds(id decide.RequestID) (held bool) {
+	l.post(func() { held = l.requests[id] != nil })
+	return held
+}
+
+// Another source of membership is asked for everything, whatever version the old one had reached, and the old one's watch
+// is heard no more.
+func TestMove(t *testing.T) {
+	t.Parallel()
+	from, to := newFakes(), newFakes()
+	l := running(t, loopSettings(), from)
+	from.expect(t, "watch from 1") // the module asks by itself
+	l.Move(to)
+	from.expect(t, "close membership")
+	to.expect(t, "watch from nothing")
+	to.lists <- List{Version: 0, Full: true}
+	from.expect(t, "update 0")
+	for l.Able() {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/front/handler.go
@@ -1,12 +1,12 @@
-package node
+// Package front holds what all fronts that speak HTTP share: the checks of a request, what goes on of it, and how its answer
+// is written. The fronts themselves are in folders of their own.
+package front
 
 import (
-	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -16,25 +16,26 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/core"
 )
 
 const (
-	// A connection that brings no whole request within 3 s has been answered or closed by then.
-	headerWait    = 1500 * time.Millisecond // for a request's header, all of it
+	BodyLimit     = 64 << 10                // bytes of a request's body
 	bodyWait      = 1200 * time.Millisecond // for its body, all of it
 	writeWait     = 5 * time.Second         // for the client to take its answer
 	lingerWait    = 200 * time.Millisecond  // for the rest of what has been turned away, so that it gets to read why
-	idleWait      = 2100 * time.Millisecond // a client may count on 2 s; many ask once and keep what others then lack
-	headerLimit   = 16 << 10
 	patienceLimit = time.Hour
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
 	answerMargin = 10 * time.Millisecond
 	busyHoldOff  = 500 * time.Millisecond // what a client is told that the node itself has no room for
 )
 
-// frontend serves clients.
-type frontend struct {
-	loop      *loop
+// Handler serves the requests of a front: checks each, hands it to the loop, writes its answer.
+type Handler struct {
+	// Lost, if set, tells whether a request's connection was closed while the request was on its way: it is dropped.
+	Lost func(*http.Request) bool
+
+	loop      *core.Loop
 	log       *slog.Logger
 	classes   map[string]decide.Class
 	drainEnd  atomic.Pointer[time.Time] // set once the node is to end
@@ -45,30 +46,28 @@
 	maxBodies int64
 }
 
-func newFrontend(l *loop, maxBodies int64, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: math.MaxInt64, maxBodies: maxBodies}
-	if m := l.settings.MaxOpen; m > 0 {
+// NewHandler makes a handler that holds at most so many bytes of bodies.
+func NewHandler(l *core.Loop, s decide.Settings, maxBodies int64, log *slog.Logger) *Handler {
+	f := &Handler{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: math.MaxInt64, maxBodies: maxBodies}
+	if m := s.MaxOpen; m > 0 {
 		f.maxOpen = int64(m)
 	}
-	for _, c := range l.settings.Classes {
+	for _, c := range s.Classes {
 		f.classes[c.Name] = c
 	}
 	return f
 }
 
-type connKey struct{}
+// Drain has the node called not ready, and each request answered by end.
+func (f *Handler) Drain(end time.Time) { f.drainEnd.Store(&end) }
 
-func (f *frontend) server(a *admission) *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
-		ConnState: a.track, DisableGeneralOptionsHandler: true,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		ErrorLog:    slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
-}
+// LastCall has no more requests taken.
+func (f *Handler) LastCall() { f.closing.Store(true) }
 
 // ready tells whether the node can serve.
-func (f *frontend) ready() bool { return f.drainEnd.Load() == nil && f.loop.able.Load() }
+func (f *Handler) ready() bool { return f.drainEnd.Load() == nil && f.loop.Able() }
 
-func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	class, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if class == "health" && (rest == "ready" || rest == "live") && r.ContentLength == 0 {
 		if rest == "ready" && !f.ready() {
@@ -90,7 +89,7 @@
 	if f.bodies.Add(r.ContentLength) > f.maxBodies {
 		w.Header().Set("Connection", "close") // its body is not read
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerWait))
-		f.write(w, answer{status: http.StatusServiceUnavailable, holdOff: busyHoldOff, reason: decide.ByNode})
+		f.write(w, core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
 		return
 	}
 	body, status, fault := readBody(w, r)
@@ -98,51 +97,25 @@
 		reject(w, status, fault)
 		return
 	}
-	if c := r.Context().Value(connKey{}).(*clientConn); c.lost() {
+	if f.Lost != nil && f.Lost(r) {
 		panic(http.ErrAbortHandler)
 	}
 	defer f.open.Add(-1)
 	if f.open.Add(1) > f.maxOpen || f.closing.Load() {
-		f.write(w, answer{status: http.StatusServiceUnavailable, holdOff: busyHoldOff, reason: decide.ByNode})
+		f.write(w, core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
 		return
 	}
 	req := newRequest(r, class, patience, body)
-	req.arriving = true
-	if end := f.drainEnd.Load(); end != nil && req.deadline.After(*end) {
-		req.deadline = *end
-	}
-	if !f.loop.post(func() { f.loop.arrive(req) }) {
-		f.write(w, answer{status: http.StatusServiceUnavailable, reason: decide.ByNode})
-		return
+	if end := f.drainEnd.Load(); end != nil && req.Deadline.After(*end) {
+		req.Deadline = *end
 	}
-	if req.attempt != nil {
-		// It ends by the request's deadline, or when it is called off.
-		stop := context.AfterFunc(r.Context(), func() { f.loop.post(func() { f.loop.abandon(req) }) })
-		req.attempt()
-		stop()
-		select {
-		case a := <-req.answer:
-			f.write(w, a)
-			return
-		default:
-		}
-	}
-	late := time.NewTimer(max(0, time.Until(req.deadline)) + overdue)
-	defer late.Stop()
-	select {
-	case a := <-req.answer:
-		f.write(w, a)
-	case <-r.Context().Done():
+	a, ok := f.loop.Do(r.Context(), req)
+	if !ok {
 		// It has closed its connection, or its own direction only: then it is told that nothing comes.
-		f.loop.post(func() { f.loop.abandon(req) })
 		reject(w, http.StatusBadRequest, "the client has closed")
-	case <-late.C:
-		f.loop.post(func() { f.loop.abandon(req) })
-		f.log.Warn("overdue", "id", req.arrived.ID)
-		f.write(w, answer{status: http.StatusGatewayTimeout})
-	case <-f.loop.ctx.Done():
-		f.write(w, answer{status: http.StatusBadGateway})
+		return
 	}
+	f.write(w, a)
 }
 
 // reject answers what is no request. Where one ends on its connection is in doubt, so nothing more is read there.
@@ -168,7 +141,7 @@
 		return 0, http.StatusMethodNotAllowed, "the class wants " + method
 	case method == http.MethodGet && r.ContentLength > 0:
 		return 0, http.StatusBadRequest, "GET takes no body"
-	case r.ContentLength > bodyLimit:
+	case r.ContentLength > BodyLimit:
 		return 0, http.StatusRequestEntityTooLarge, "the body is too large"
 	case !one(r.Header["X-Correlation-Id"]):
 		return 0, http.StatusBadRequest, "want one X-Correlation-Id"
@@ -206,15 +179,15 @@
 	return body, 0, ""
 }
 
-func newRequest(r *http.Request, class string, patience time.Duration, body []byte) *request {
+func newRequest(r *http.Request, class string, patience time.Duration, body []byte) *core.Request {
 	e := decide.RequestArrived{ID: decide.RequestID(r.Header.Get("X-Correlation-Id")), Class: class, Tenant: r.Header.Get("X-Account"),
 		Key: queryValue(r.URL.RawQuery, "obj"), Repeat: r.Header.Get("X-Repeat") == "1", Write: fact(r.Header.Get("X-Facts"), "write")}
 	if us, err := strconv.ParseFloat(r.Header.Get("X-Weight-Hint"), 64); err == nil && us >= 0 && us < patienceLimit.Seconds()*1e6 {
 		e.WorkHint, e.HasHint = time.Duration(us*float64(time.Microsecond)), true
 	}
-	return &request{arrived: e, deadline: time.Now().Add(patience - answerMargin), method: r.Method, body: body,
-		url:    &url.URL{Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
-		header: endToEnd(r.Header), answer: make(chan answer, 1)}
+	return &core.Request{Arrived: e, Deadline: time.Now().Add(patience - answerMargin), Method: r.Method, Body: body,
+		URL:    &url.URL{Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
+		Header: endToEnd(r.Header)}
 }
 
 // queryValue gives the first value of a name, as url.Values.Get does, without taking the rest apart.
@@ -268,11 +241,11 @@
 	"Content-Length", "X-Time-Left", "X-Backend-Load", "X-Unprocessed"}
 
 // write sends the final answer. It is the only one: each request comes here once.
-func (f *frontend) write(w http.ResponseWriter, a answer) {
+func (f *Handler) write(w http.ResponseWriter, a core.Answer) {
 	h := w.Header()
-	if a.header != nil {
+	if a.Header != nil {
 		closing := h["Connection"]
-		for name, values := range endToEnd(a.header) {
+		for name, values := range endToEnd(a.Header) {
 			h[name] = values
 		}
 		if closing != nil {
@@ -285,17 +258,17 @@
 	if f.closing.Load() { // it may have begun while the request was out
 		h.Set("Connection", "close")
 	}
-	if a.status == http.StatusConflict {
+	if a.Status == http.StatusConflict {
 		h.Set("Connection", "close")
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	if a.status == http.StatusServiceUnavailable {
-		h.Set("X-Refused-By", [...]string{decide.ByServers: "servers", decide.ByNode: "node"}[a.reason])
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if a.Status == http.StatusServiceUnavailable {
+		h.Set("X-Refused-By", [...]string{decide.ByServers: "servers", decide.ByNode: "node"}[a.Reason])
 	}
-	if a.holdOff > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
+	if a.HoldOff > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
 	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
-	w.WriteHeader(a.status)
-	w.Write(a.body)
+	w.WriteHeader(a.Status)
+	w.Write(a.Body)
 }
--- a/internal/node/admission.go
+++ b/internal/front/http1/admission.go
@@ -1,4 +1,4 @@
-package node
+package http1
 
 import (
 	queue "container/list"
--- /dev/null
+++ b/internal/front/http1/front.go
@@ -0,0 +1,72 @@
+// Package http1 is the front for clients that speak HTTP/1.1 over plain TCP.
+package http1
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"starlingvalve/internal/front"
+)
+
+const (
+	// A connection that brings no whole request within 3 s has been answered or closed by then.
+	headerWait  = 1500 * time.Millisecond // for a request's header, all of it
+	idleWait    = 2100 * time.Millisecond // a client may count on 2 s; many ask once and keep what others then lack
+	headerLimit = 16 << 10
+
+	// SIGTERM: connections come for 0.4 s more; the rest is for the accept queue. Clients go on using those that
+	// they have.
+	drainAccept = 600 * time.Millisecond
+	lastCall    = 300 * time.Millisecond // before the end no more requests are taken
+	drainLook   = 20 * time.Millisecond
+	drainSlack  = time.Second // after the end, for answers that are being written
+)
+
+// Front is a core.Front on one listener.
+type Front struct {
+	handler *front.Handler
+	door    *admission
+	server  *http.Server
+	log     *slog.Logger
+}
+
+type connKey struct{}
+
+// New makes a front that has at most so many clients' connections open.
+func New(tcp *net.TCPListener, conns int, h *front.Handler, log *slog.Logger) *Front {
+	f := &Front{handler: h, door: newAdmission(tcp, conns), log: log}
+	h.Lost = func(r *http.Request) bool { return r.Context().Value(connKey{}).(*clientConn).lost() }
+	f.server = &http.Server{Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
+		ConnState: f.door.track, DisableGeneralOptionsHandler: true,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	return f
+}
+
+// Serve is core.Front's.
+func (f *Front) Serve() error { return f.server.Serve(f.door) }
+
+// Close is core.Front's.
+func (f *Front) Close() { f.server.Close() }
+
+// Drain is core.Front's. Clients still come for a moment, and what the kernel has accepted counts as taken: so the
+// listener stays open for that long. On the connections that they have they are served for as long as an answer can
+// come by the end: the others of its zone may be few, and have its clients soon enough.
+func (f *Front) Drain(end time.Time) {
+	f.handler.Drain(end) // by then all is answered
+	time.Sleep(drainAccept)
+	f.door.TCPListener.Close()
+	for time.Until(end) > lastCall && f.door.held() > 0 {
+		time.Sleep(drainLook)
+	}
+	f.handler.LastCall()
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(drainSlack))
+	defer cancel()
+	if err := f.server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		f.log.Warn("drained with requests held", "err", err)
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/member/registry/registry.go
@@ -1,4 +1,5 @@
-package node
+// Package registry is membership as the platform tells it: an HTTP registry that is asked, or an agent that is pushed to.
+package registry
 
 import (
 	"bytes"
@@ -18,6 +19,7 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/core"
 )
 
 const (
@@ -34,22 +36,10 @@
 	registryURL = "/registry/instances"
 )
 
-// list is what discovery tells: all backends, or those that changed.
-type list struct {
-	version uint64
-	full    bool
-	entries []entry
-}
-
-type entry struct {
-	decide.Server
-	addr string
-}
-
 var states = map[string]decide.ServerState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
 
-// decodeList takes a list only if all of it makes sense.
-func decodeList(raw []byte) (list, error) {
+// Decode takes a list only if all of it makes sense.
+func Decode(raw []byte) (core.List, error) {
 	var in struct {
 		Version *uint64 `json:"version"`
 		Full    bool    `json:"full"`
@@ -65,21 +55,21 @@
 		} `json:"servers"`
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
-		return list{}, fmt.Errorf("list: %w", err)
+		return core.List{}, fmt.Errorf("list: %w", err)
 	}
 	if in.Version == nil {
-		return list{}, errors.New("list: version is missing")
+		return core.List{}, errors.New("list: version is missing")
 	}
-	l := list{version: *in.Version, full: in.Full}
+	l := core.List{Version: *in.Version, Full: in.Full}
 	for i, s := range in.Servers {
 		state, ok := states[s.State]
 		if !ok || s.ID == "" {
-			return list{}, fmt.Errorf("list, entry %d: id %q, unknown state %q", i, s.ID, s.State)
+			return core.List{}, fmt.Errorf("list, entry %d: id %q, unknown state %q", i, s.ID, s.State)
 		}
 		if _, err := netip.ParseAddrPort(s.Addr); err != nil && state != decide.Gone {
-			return list{}, fmt.Errorf("list, entry %d: %w", i, err)
+			return core.List{}, fmt.Errorf("list, entry %d: %w", i, err)
 		}
-		l.entries = append(l.entries, entry{addr: s.Addr, Server: decide.Server{ID: serverID(s.ID), Zone: s.Zone, Kind: s.Kind,
+		l.Entries = append(l.Entries, core.Entry{Addr: s.Addr, Server: decide.Server{ID: serverID(s.ID), Zone: s.Zone, Kind: s.Kind,
 			Cell: s.Cell, State: state, Size: s.Weight, StartedAt: time.Duration(min(max(0, s.Started), latestStart)) * time.Millisecond}})
 	}
 	return l, nil
@@ -99,59 +89,59 @@
 }
 
 // discovery asks for the list of backends, at one address. Its calls go out on connections of its own.
-type discovery struct {
+type Registry struct {
 	addr   netip.AddrPort
 	client *http.Client
 	log    *slog.Logger
 }
 
-func newDiscovery(addr netip.AddrPort, log *slog.Logger) *discovery {
-	return &discovery{addr: addr, log: log, client: &http.Client{Transport: &http.Transport{
+func New(addr netip.AddrPort, log *slog.Logger) *Registry {
+	return &Registry{addr: addr, log: log, client: &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialWait}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
 }
 
-func (d *discovery) call(ctx context.Context, query string, limit time.Duration) (list, error) {
+func (d *Registry) call(ctx context.Context, query string, limit time.Duration) (core.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr.String()+registryURL+query, nil)
 	if err != nil {
-		return list{}, err
+		return core.List{}, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return list{}, err
+		return core.List{}, err
 	}
 	defer resp.Body.Close()
 	var body bytes.Buffer
 	if _, err := body.ReadFrom(io.LimitReader(resp.Body, listLimit)); err != nil {
-		return list{}, err
+		return core.List{}, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return list{}, fmt.Errorf("discovery answers %s", resp.Status)
+		return core.List{}, fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	return decodeList(body.Bytes())
+	return Decode(body.Bytes())
 }
 
-// fetch asks for the whole list once.
-func (d *discovery) fetch(ctx context.Context) (list, error) {
+// Fetch asks for the whole list once.
+func (d *Registry) Fetch(ctx context.Context) (core.List, error) {
 	l, err := d.call(ctx, "", callSlack)
-	if err == nil && !l.full {
-		return list{}, errors.New("list: want the whole")
+	if err == nil && !l.Full {
+		return core.List{}, errors.New("list: want the whole")
 	}
 	return l, err
 }
 
-// watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
+// Watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
 // fails. With no version to begin at, it begins with the whole list.
-func (d *discovery) watch(ctx context.Context, since *uint64, news func(list)) error {
+func (d *Registry) Watch(ctx context.Context, since *uint64, news func(core.List)) error {
 	var version uint64
 	wait, slack := firstWait, callSlack
 	for first := true; ; first = false {
 		asked := time.Now()
-		var l list
+		var l core.List
 		var err error
 		if first && since == nil {
-			l, err = d.fetch(ctx)
+			l, err = d.Fetch(ctx)
 		} else {
 			if first {
 				version = *since
@@ -161,25 +151,25 @@
 		if err != nil {
 			return err
 		}
-		if first || l.full || len(l.entries) > 0 || l.version != version {
+		if first || l.Full || len(l.Entries) > 0 || l.Version != version {
 			news(l)
 		}
 		// An agent may answer at once, always: that must not become a busy loop. A watch goes on over 200 ms.
-		if !first && l.version == version && time.Since(asked) < agentPause {
+		if !first && l.Version == version && time.Since(asked) < agentPause {
 			select {
 			case <-ctx.Done():
 			case <-time.After(agentPause):
 			}
 		}
-		version, wait, slack = l.version, watchWait, watchSlack
+		version, wait, slack = l.Version, watchWait, watchSlack
 	}
 }
 
-// follow keeps a watch where lists are pushed and so nobody asks for one.
-func (d *discovery) follow(ctx context.Context, since *uint64, news func(list)) {
+// Follow keeps a watch where lists are pushed and so nobody asks for one.
+func (d *Registry) Follow(ctx context.Context, since *uint64, news func(core.List)) {
 	retry := retryFirst
 	for ctx.Err() == nil {
-		err := d.watch(ctx, since, func(l list) { since, retry = &l.version, retryFirst; news(l) })
+		err := d.Watch(ctx, since, func(l core.List) { since, retry = &l.Version, retryFirst; news(l) })
 		d.log.Debug("watch ended", "err", err)
 		select {
 		case <-ctx.Done():
@@ -188,3 +178,9 @@
 		retry = min(2*retry, retryLast)
 	}
 }
+
+// Addr is where it asks.
+func (d *Registry) Addr() netip.AddrPort { return d.addr }
+
+// Close is core.Membership's.
+func (d *Registry) Close() { d.client.CloseIdleConnections() }
--- a/internal/node/peers.go
+++ b/internal/peer/peer.go
@@ -1,4 +1,5 @@
-package node
+// Package peer carries datagrams between the nodes of a tier.
+package peer
 
 import (
 	"context"
@@ -11,8 +12,9 @@
 )
 
 const (
-	datagramLimit = 256 // bytes
-	datagramQueue = 64  // datagrams that wait to be sent; more are lost, as datagrams may be
+	// DatagramLimit is the longest datagram, in bytes.
+	DatagramLimit = 256
+	datagramQueue = 64 // datagrams that wait to be sent; more are lost, as datagrams may be
 )
 
 type datagram struct {
@@ -20,8 +22,8 @@
 	data []byte
 }
 
-// peers carries datagrams between nodes. A nil *peers carries none.
-type peers struct {
+// Peers carries datagrams between nodes. A nil *Peers carries none.
+type Peers struct {
 	conn  *net.UDPConn
 	nodes []netip.AddrPort
 	all   netip.AddrPort
@@ -30,20 +32,19 @@
 	log   *slog.Logger
 }
 
-func listenPeers(c *Config, log *slog.Logger) (*peers, error) {
-	if !c.PeerListen.IsValid() || !c.Settings.MayMessage {
-		return nil, nil
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.PeerListen))
+// Listen begins to carry datagrams. nodes has one address for each node of the tier, this one's own at self; all, if
+// it is valid, reaches every node.
+func Listen(at netip.AddrPort, nodes []netip.AddrPort, all netip.AddrPort, self int, log *slog.Logger) (*Peers, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	return &peers{conn: conn, nodes: c.Peers, all: c.PeersAll, self: c.Settings.Self, queue: make(chan datagram, datagramQueue), log: log}, nil
+	return &Peers{conn: conn, nodes: nodes, all: all, self: self, queue: make(chan datagram, datagramQueue), log: log}, nil
 }
 
-// send never blocks.
-func (p *peers) send(to int, toAll bool, data []byte) {
-	if p == nil || len(data) > datagramLimit {
+// Send never blocks.
+func (p *Peers) Send(to int, toAll bool, data []byte) {
+	if p == nil || len(data) > DatagramLimit {
 		return
 	}
 	var dest []netip.AddrPort
@@ -67,8 +68,8 @@
 	}
 }
 
-// write sends what is queued until ctx ends, and then ends read too.
-func (p *peers) write(ctx context.Context) {
+// Write sends what is queued until ctx ends, and then ends Read too.
+func (p *Peers) Write(ctx context.Context) {
 	defer p.conn.Close()
 	for {
 		select {
@@ -82,13 +83,13 @@
 	}
 }
 
-// read hands on what nodes of the tier say. Anything else is dropped.
-func (p *peers) read(heard func(from int, data []byte)) {
+// Read hands on what nodes of the tier say. Anything else is dropped.
+func (p *Peers) Read(heard func(from int, data []byte)) {
 	number := map[netip.AddrPort]int{}
 	for i, a := range p.nodes {
 		number[a] = i
 	}
-	buf := make([]byte, datagramLimit+1)
+	buf := make([]byte, DatagramLimit+1)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -99,7 +100,7 @@
 			continue
 		}
 		i, known := number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if known && i != p.self && n <= datagramLimit {
+		if known && i != p.self && n <= DatagramLimit {
 			heard(i, append([]byte(nil), buf[:n]...))
 		}
 	}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/testkit"
+)
+
+// Datagrams go to one or to all, none that is too long; those of nodes of the tier are heard, nobody else's.
+func TestDatagrams(t *testing.T) {
+	t.Parallel()
+	udp := func() *net.UDPConn {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	other, stranger := udp(), udp()
+	address := func(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
+	p, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), []netip.AddrPort{{}, address(other)}, netip.AddrPort{}, 0, testkit.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	heard, ended := make(chan string, 9), make(chan struct{})
+	go p.Write(ctx)
+	go func() {
+		defer close(ended)
+		p.Read(func(from int, data []byte) { heard <- fmt.Sprint(from, " ", string(data)) })
+	}()
+	p.Send(1, false, make([]byte, DatagramLimit+1))
+	p.Send(9, false, nil)
+	p.Send(1, false, []byte("one"))
+	p.Send(0, true, []byte("all"))
+	buf := make([]byte, 2*DatagramLimit)
+	other.SetReadDeadline(time.Now().Add(testkit.Patient))
+	for _, want := range []string{"one", "all"} {
+		if n, _, err := other.ReadFromUDP(buf); err != nil || string(buf[:n]) != want {
+			t.Errorf("datagram %q, %v; want %q", buf[:n], err, want)
+		}
+	}
+	own := address(p.conn)
+	stranger.WriteToUDPAddrPort([]byte("lies"), own)
+	other.WriteToUDPAddrPort(make([]byte, DatagramLimit+1), own)
+	other.WriteToUDPAddrPort([]byte("hi"), own)
+	if got := <-heard; got != "1 hi" {
+		t.Errorf("heard %q", got)
+	}
+	cancel()
+	<-ended
+}
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,104 @@
+// Package testkit is what tests of several packages share: servers as a test wants them, settings, a list.
+package testkit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/core"
+)
+
+// Patient is how long a test waits for what must come, on a machine of any speed.
+const Patient = 20 * time.Second
+
+// Quiet is a log that nobody reads.
+var Quiet = slog.New(slog.DiscardHandler)
+
+// Settings has a safe class read, a keyed class tag and an unsafe class order.
+func Settings() decide.Settings {
+	class := func(name string, e decide.Effect) decide.Class {
+		return decide.Class{Name: name, Worth: 1, Aim: 5 * time.Second, Deadline: 10 * time.Second, Effect: e,
+			KeyScope: decide.ScopeCell, DedupWindow: 8 * time.Second}
+	}
+	return decide.Settings{Nodes: 1, Zone: "z", Zones: []string{"z"}, MaxAttempts: 4, MayOverlap: true, MayCancel: true,
+		MayProbe: true, HoldOffs: true, MaxHoldOff: 2 * time.Second, ConnectTimeout: 2 * time.Second,
+		ConnIdle: time.Minute, MaxOpen: 100, DrainGrace: 500 * time.Millisecond, ColdFrom: 0.3, ColdTime: time.Second,
+		OverloadFactor: 2.5, OverloadTime: time.Second, ReportVia: decide.ReportProbe, MinTick: 5 * time.Millisecond,
+		AskWithin: 10 * time.Second,
+		Classes:   []decide.Class{class("read", decide.Safe), class("tag", decide.Keyed), class("order", decide.Unsafe)}}
+}
+
+// Server is a listener on a port that the kernel chose. Each connection is handed to serve.
+func Server(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	open.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			open.Go(func() { defer c.Close(); serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		for _, c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		open.Wait()
+	})
+	return l.Addr().String()
+}
+
+// Answering reads requests and writes what reply says, until it says nothing.
+func Answering(reply func(*http.Request, []byte) string) func(net.Conn) {
+	return func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(req.Body)
+			text := reply(req, body)
+			if text == "" {
+				return
+			}
+			io.WriteString(c, text)
+		}
+	}
+}
+
+// OK is an answer 200.
+func OK(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// Known is a list of ready servers at these addresses, with the ids 1, 2, ...
+func Known(addrs ...string) core.List {
+	l := core.List{Version: 1, Full: true}
+	for i, a := range addrs {
+		l.Entries = append(l.Entries, core.Entry{Addr: a, Server: decide.Server{ID: decide.ServerID(i + 1), Zone: "z", State: decide.Ready, Size: 1}})
+	}
+	return l
+}
--- a/internal/node/backend.go
+++ b/internal/upstream/http1/backend.go
@@ -1,4 +1,5 @@
-package node
+// Package http1 is the transport to servers that speak HTTP/1.1 over plain TCP.
+package http1
 
 import (
 	"bufio"
@@ -21,11 +22,12 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/core"
 	"starlingvalve/internal/wire"
 )
 
 const (
-	bodyLimit   = 64 << 10 // bytes of a request's body
+	bodyLimit   = 64 << 10 // bytes of an answer's body; one that says it is larger waits for room
 	headLimit   = 64 << 10 // of an answer's header, with what interim answers come before it
 	answerLimit = 1 << 20  // of an answer's body
 	largePart   = 1.0 / 8  // of the memory: bodies over bodyLimit that are being read at once
@@ -37,9 +39,9 @@
 	loadLimit   = 1e6                  // more than any figure of a load report can be
 )
 
-// backends holds the connections to all backends. Each carries one request at a time; the most recently used
+// Transport holds the connections to all Transport. Each carries one request at a time; the most recently used
 // goes first. It does not use http.Transport, which sends some requests again by itself.
-type backends struct {
+type Transport struct {
 	mu             sync.Mutex
 	hosts          map[decide.ServerID]*host
 	byAddr         map[string]*host // those that are not closed
@@ -53,8 +55,9 @@
 	log            *slog.Logger
 }
 
-// host is one backend. The fields are under the lock of backends.
+// host is one backend, a core.Server. The fields are under the lock of Transport.
 type host struct {
+	owner   *Transport
 	addr    string
 	started decide.Time
 	closed  bool    // it drains or is gone: nothing new is written to it
@@ -86,23 +89,23 @@
 	return n, err
 }
 
-func newBackends(c *Config, limit int, log *slog.Logger) *backends {
-	idle := time.Duration(float64(c.Settings.ConnIdle) * idlePart)
+func New(s decide.Settings, memoryMB, limit int, log *slog.Logger) *Transport {
+	idle := time.Duration(float64(s.ConnIdle) * idlePart)
 	if idle <= 0 {
 		idle = time.Minute
 	}
-	return &backends{hosts: map[decide.ServerID]*host{}, byAddr: map[string]*host{}, idle: queue.New(), limit: limit, log: log, largeLimit: int64(largePart * float64(c.Limits.MemoryMB<<20)),
-		connectTimeout: c.Settings.ConnectTimeout, idleLimit: idle}
+	return &Transport{hosts: map[decide.ServerID]*host{}, byAddr: map[string]*host{}, idle: queue.New(), limit: limit, log: log, largeLimit: int64(largePart * float64(memoryMB<<20)),
+		connectTimeout: s.ConnectTimeout, idleLimit: idle}
 }
 
 // update follows the list. Connections of an address or a process that is no more are closed: a request on one
 // of them would be a reset.
-func (b *backends) update(l list) {
+func (b *Transport) Update(l core.List) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.full {
+	if l.Full {
 		b.lists++
-		for _, e := range l.entries {
+		for _, e := range l.Entries {
 			if h := b.hosts[e.ID]; h != nil {
 				h.seen = b.lists
 			}
@@ -114,22 +117,22 @@
 			}
 		}
 	}
-	for _, e := range l.entries {
+	for _, e := range l.Entries {
 		h := b.hosts[e.ID]
-		if h != nil && (e.State != decide.Ready || h.addr != e.addr || e.StartedAt > h.started) {
+		if h != nil && (e.State != decide.Ready || h.addr != e.Addr || e.StartedAt > h.started) {
 			b.retire(h)
 			delete(b.hosts, e.ID) // attempts that connect to it still hold h, and find it closed
 			h = nil
 		}
 		if h == nil && e.State == decide.Ready {
-			b.hosts[e.ID] = b.join(&host{addr: e.addr, started: e.StartedAt})
+			b.hosts[e.ID] = b.join(&host{owner: b, addr: e.Addr, started: e.StartedAt})
 		}
 	}
 }
 
 // join takes in a new backend. If another is still listed at its address, the one that started first is no more:
 // what is sent to it would reach the other.
-func (b *backends) join(n *host) *host {
+func (b *Transport) join(n *host) *host {
 	if h := b.byAddr[n.addr]; h != nil {
 		if h.started > n.started {
 			n.closed = true
@@ -141,7 +144,7 @@
 	return n
 }
 
-func (b *backends) retire(h *host) {
+func (b *Transport) retire(h *host) {
 	h.closed = true
 	if b.byAddr[h.addr] == h {
 		delete(b.byAddr, h.addr)
@@ -149,34 +152,34 @@
 	b.closeAll(h)
 }
 
-func (b *backends) closeAll(h *host) {
+func (b *Transport) closeAll(h *host) {
 	for _, c := range h.idle {
 		b.drop(c)
 	}
 	h.idle = nil
 }
 
-func (b *backends) drop(c *conn) {
+func (b *Transport) drop(c *conn) {
 	b.take(c)
 	c.Close()
 	b.open--
 }
 
 // take notes that a connection is idle no more.
-func (b *backends) take(c *conn) {
+func (b *Transport) take(c *conn) {
 	if c.place != nil {
 		b.idle.Remove(c.place)
 		c.place = nil
 	}
 }
 
-func (b *backends) find(id decide.ServerID) *host {
+func (b *Transport) find(id decide.ServerID) *host {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.hosts[id]
 }
 
-func (b *backends) closeIdle(id decide.ServerID) {
+func (b *Transport) CloseIdle(id decide.ServerID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h := b.hosts[id]; h != nil {
@@ -185,7 +188,7 @@
 }
 
 // run retires idle connections until ctx ends, and then closes them all.
-func (b *backends) run(ctx context.Context) {
+func (b *Transport) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
@@ -203,7 +206,7 @@
 	}
 }
 
-func (b *backends) sweep() {
+func (b *Transport) sweep() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, h := range b.hosts {
@@ -222,7 +225,7 @@
 
 // usable tells whether an idle connection may take a request: young enough, and quiet. A write to one that the
 // backend has closed would succeed, and then leave open whether the request ran.
-func (b *backends) usable(c *conn) bool {
+func (b *Transport) usable(c *conn) bool {
 	text, open := c.behind()
 	return time.Since(c.since) < b.idleLimit && open && text == ""
 }
@@ -253,7 +256,7 @@
 )
 
 // connect takes an idle connection or makes one. errTooMany is the node's own shortage.
-func (b *backends) connect(ctx context.Context, h *host, deadline time.Time) (*conn, error) {
+func (b *Transport) connect(ctx context.Context, h *host, deadline time.Time) (*conn, error) {
 	b.mu.Lock()
 	if h.closed {
 		b.mu.Unlock()
@@ -294,7 +297,7 @@
 }
 
 // evict makes room at the bound by closing the connection that has been idle longest.
-func (b *backends) evict() bool {
+func (b *Transport) evict() bool {
 	e := b.idle.Front()
 	if e == nil {
 		return false
@@ -309,7 +312,7 @@
 }
 
 // release gives a connection back, for the next request or to be closed.
-func (b *backends) release(h *host, c *conn, keep bool) {
+func (b *Transport) release(h *host, c *conn, keep bool) {
 	if keep {
 		keep = c.SetDeadline(time.Time{}) == nil
 	}
@@ -326,7 +329,7 @@
 
 // silent closes a host's idle connections if nothing has come from it since a time: a machine that was cut off
 // and is back resets them, and each of them would cost a request.
-func (b *backends) silent(h *host, since time.Time) {
+func (b *Transport) silent(h *host, since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h.heard.Before(since) {
@@ -334,48 +337,27 @@
 	}
 }
 
-func (b *backends) closing(h *host) bool {
+func (b *Transport) closing(h *host) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return h.closed
 }
 
-// exchange is one request to a backend.
-type exchange struct {
-	method   string
-	url      *url.URL
-	header   http.Header
-	body     []byte
-	deadline time.Time // the node waits no longer
-	writeBy  time.Time // if set, nothing is written from then on
-}
-
-// result is how an exchange ended.
-type result struct {
-	code   decide.OutcomeCode
-	at     time.Time // the exchange was over
-	report *decide.Report
-	header http.Header
-	body   []byte
-	client int // the status of an answer that puts the fault with the client
-	err    error
-}
-
 // do makes an exchange and blocks until it is over. An end of ctx calls it off.
-func (b *backends) do(ctx context.Context, h *host, x *exchange) result {
+func (b *Transport) do(ctx context.Context, h *host, x *core.Exchange) core.Result {
 	if h == nil {
-		return result{code: decide.ConnectFailed, err: errClosed}
+		return core.Result{Code: decide.ConnectFailed, Err: errClosed}
 	}
 	began := time.Now()
-	c, err := b.connect(ctx, h, x.deadline)
+	c, err := b.connect(ctx, h, x.Deadline)
 	if err != nil {
 		switch {
 		case ctx.Err() != nil:
-			return result{code: decide.Cancelled, err: ctx.Err()}
+			return core.Result{Code: decide.Cancelled, Err: ctx.Err()}
 		case errors.Is(err, errTooMany): // not the backend's fault
-			return result{code: decide.Moot, err: err}
+			return core.Result{Code: decide.Moot, Err: err}
 		}
-		return result{code: decide.ConnectFailed, err: err}
+		return core.Result{Code: decide.ConnectFailed, Err: err}
 	}
 	// Connecting takes time: what made this attempt right may no longer hold, and until the last byte is
 	// written it has not run.
@@ -383,34 +365,34 @@
 	switch {
 	case ctx.Err() != nil:
 		b.release(h, c, true)
-		return result{code: decide.Cancelled, err: ctx.Err()}
+		return core.Result{Code: decide.Cancelled, Err: ctx.Err()}
 	case b.closing(h):
 		b.release(h, c, false)
-		return result{code: decide.ConnectFailed, err: errClosed}
-	case !x.writeBy.IsZero() && !now.Before(x.writeBy):
+		return core.Result{Code: decide.ConnectFailed, Err: errClosed}
+	case !x.WriteBy.IsZero() && !now.Before(x.WriteBy):
 		b.release(h, c, true)
-		return result{code: decide.Moot, err: errors.New("the keyed window is over")}
-	case !now.Before(x.deadline):
+		return core.Result{Code: decide.Moot, Err: errors.New("the keyed window is over")}
+	case !now.Before(x.Deadline):
 		b.release(h, c, true)
-		return result{code: decide.ConnectFailed, err: os.ErrDeadlineExceeded}
+		return core.Result{Code: decide.ConnectFailed, Err: os.ErrDeadlineExceeded}
 	}
-	c.SetDeadline(x.deadline)
+	c.SetDeadline(x.Deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	r, keep := b.roundTrip(c, x)
 	stopped := stop()
 	switch {
-	case r.err == nil:
+	case r.Err == nil:
 		b.mu.Lock()
 		h.heard = time.Now()
 		b.mu.Unlock()
-	case r.code == decide.ConnectFailed:
+	case r.Code == decide.ConnectFailed:
 	case ctx.Err() != nil:
-		r.code = decide.Cancelled
-	case errors.Is(r.err, os.ErrDeadlineExceeded):
-		r.code = decide.TimedOut
+		r.Code = decide.Cancelled
+	case errors.Is(r.Err, os.ErrDeadlineExceeded):
+		r.Code = decide.TimedOut
 	}
-	b.release(h, c, keep && stopped && r.err == nil)
-	if r.code == decide.TimedOut {
+	b.release(h, c, keep && stopped && r.Err == nil)
+	if r.Code == decide.TimedOut {
 		b.silent(h, began)
 	}
 	return r
@@ -427,16 +409,16 @@
 
 // write puts a request into the form that it has on a connection. All its parts have been read by net/http, which
 // lets no line break through.
-func (x *exchange) write(to *bytes.Buffer) {
-	uri := x.url.RequestURI()
-	to.Grow(1<<10 + len(x.body))
-	to.WriteString(x.method)
+func write(x *core.Exchange, to *bytes.Buffer) {
+	uri := x.URL.RequestURI()
+	to.Grow(1<<10 + len(x.Body))
+	to.WriteString(x.Method)
 	to.WriteByte(' ')
 	to.WriteString(uri)
 	to.WriteString(" HTTP/1.1\r\nHost: ")
-	to.WriteString(x.url.Host)
+	to.WriteString(x.URL.Host)
 	to.WriteString("\r\n")
-	for name, values := range x.header {
+	for name, values := range x.Header {
 		for _, v := range values {
 			to.WriteString(name)
 			to.WriteString(": ")
@@ -445,27 +427,27 @@
 		}
 	}
 	to.WriteString("X-Time-Left: ")
-	left := max(0, time.Until(x.deadline))
+	left := max(0, time.Until(x.Deadline))
 	to.Write(strconv.AppendFloat(to.AvailableBuffer(), left.Seconds(), 'f', 3, 64))
-	if len(x.body) > 0 || x.method == http.MethodPost {
+	if len(x.Body) > 0 || x.Method == http.MethodPost {
 		to.WriteString("\r\nContent-Length: ")
-		to.Write(strconv.AppendInt(to.AvailableBuffer(), int64(len(x.body)), 10))
+		to.Write(strconv.AppendInt(to.AvailableBuffer(), int64(len(x.Body)), 10))
 	}
 	to.WriteString("\r\n\r\n")
-	to.Write(x.body)
+	to.Write(x.Body)
 }
 
 // roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
-func (b *backends) roundTrip(c *conn, x *exchange) (r result, keep bool) {
+func (b *Transport) roundTrip(c *conn, x *core.Exchange) (r core.Result, keep bool) {
 	text := buffers.Get().(*bytes.Buffer)
 	defer buffers.Put(text)
 	text.Reset()
-	x.write(text)
+	write(x, text)
 	if _, err := c.Write(text.Bytes()); err != nil {
-		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
+		return core.Result{Code: decide.ConnectFailed, Err: err}, false // its last byte was not written
 	}
 	c.left = headLimit                     // http.ReadResponse itself takes a header of any size
-	req := &http.Request{Method: x.method} // of it ReadResponse looks at the method only
+	req := &http.Request{Method: x.Method} // of it ReadResponse looks at the method only
 	resp, err := http.ReadResponse(c.r, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(c.r, req) // that was an interim answer
@@ -474,25 +456,25 @@
 		err = errors.New("the backend speaks another protocol")
 	}
 	if err != nil {
-		return result{code: decide.Reset, err: err}, false
+		return core.Result{Code: decide.Reset, Err: err}, false
 	}
 	defer resp.Body.Close()
 	if n := resp.ContentLength; n > bodyLimit {
 		defer b.large.Add(-n)
 		if held := b.large.Add(n); n > answerLimit || held > b.largeLimit {
-			return result{code: decide.Reset, err: errTooLarge}, false
+			return core.Result{Code: decide.Reset, Err: errTooLarge}, false
 		}
 	}
 	c.left += answerLimit + headLimit // and chunks' framing
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
 	switch {
 	case err != nil:
-		return result{code: decide.Reset, err: err}, false
+		return core.Result{Code: decide.Reset, Err: err}, false
 	case len(body) > answerLimit:
-		return result{code: decide.Reset, err: errTooLarge}, false
+		return core.Result{Code: decide.Reset, Err: errTooLarge}, false
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		// A body that ends with its connection looks whole when the backend has died within it.
-		return result{code: decide.Reset, err: errTruncated}, false
+		return core.Result{Code: decide.Reset, Err: errTruncated}, false
 	}
 	// A read that found less than it had room for has taken all that had come: to look again at once would tell nothing
 	// new, and costs a system call. Before it is used again the connection is looked at in any case.
@@ -502,17 +484,17 @@
 	}
 	if more != "" && !strings.HasPrefix(httpStart, more) {
 		// Another answer behind this one leaves this one good. Anything else may be its own end, and its length wrong.
-		return result{code: decide.Reset, err: errors.New("the answer is longer than its length")}, false
+		return core.Result{Code: decide.Reset, Err: errors.New("the answer is longer than its length")}, false
 	}
 	keep = open && more == "" && !resp.Close
-	r = result{code: decide.ServerError, report: parseReport(resp.Header.Get("X-Backend-Load")), header: resp.Header, body: body}
+	r = core.Result{Code: decide.ServerError, Report: parseReport(resp.Header.Get("X-Backend-Load")), Header: resp.Header, Body: body}
 	switch status := resp.StatusCode; {
 	case status == http.StatusOK:
-		r.code = decide.OK
+		r.Code = decide.OK
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && resp.Header.Get("X-Unprocessed") == "1":
-		r.code = decide.Full
+		r.Code = decide.Full
 	case status >= 400 && status < 500:
-		r.code, r.client = decide.Cancelled, status
+		r.Code, r.Client = decide.Cancelled, status
 	}
 	return r, keep
 }
@@ -535,11 +517,27 @@
 	return &r
 }
 
+// Find is core.Transport's.
+func (b *Transport) Find(id decide.ServerID) core.Server {
+	if h := b.find(id); h != nil {
+		return h
+	}
+	return nil
+}
+
+// Do is core.Server's.
+func (h *host) Do(ctx context.Context, x *core.Exchange) core.Result { return h.owner.do(ctx, h, x) }
+
+// Probe is core.Server's.
+func (h *host) Probe(ctx context.Context, path string) core.Result {
+	return h.owner.probe(ctx, h, path)
+}
+
 // probe asks a backend how it is.
-func (b *backends) probe(ctx context.Context, h *host, path string) result {
-	r := b.do(ctx, h, &exchange{method: http.MethodGet, url: &url.URL{Path: path, Host: "api.internal"}, deadline: time.Now().Add(probeWait)})
-	if r.report == nil && r.code == decide.OK {
-		r.report = parseReport(string(r.body))
+func (b *Transport) probe(ctx context.Context, h *host, path string) core.Result {
+	r := b.do(ctx, h, &core.Exchange{Method: http.MethodGet, URL: &url.URL{Path: path, Host: "api.internal"}, Deadline: time.Now().Add(probeWait)})
+	if r.Report == nil && r.Code == decide.OK {
+		r.Report = parseReport(string(r.Body))
 	}
 	return r
 }
--- /dev/null
+++ b/internal/upstream/http1/backend_test.go
@@ -0,0 +1,344 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/core"
+	"starlingvalve/internal/testkit"
+)
+
+func get(wait time.Duration) *core.Exchange {
+	return &core.Exchange{Method: "GET", URL: &url.URL{Path: "/read", Host: "h"}, Deadline: time.Now().Add(wait)}
+}
+
+// What comes behind a good answer, at once or late, is never taken for the next request's.
+func TestNothingLeftOver(t *testing.T) {
+	t.Parallel()
+	for name, more := range map[string]string{"copy": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "start of one": "HTTP/1"} {
+		for _, late := range []time.Duration{0, restLeast / 2, 10 * restLeast} {
+			sent := make(chan struct{}, 9)
+			addr := testkit.Server(t, inPieces(func(c net.Conn) {
+				if late == 0 {
+					io.WriteString(c, testkit.OK("right")+more)
+				} else {
+					io.WriteString(c, testkit.OK("right"))
+					time.Sleep(late)
+					io.WriteString(c, more)
+				}
+				sent <- struct{}{}
+			}))
+			b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+			b.Update(testkit.Known(addr))
+			for range 3 {
+				if r := b.do(t.Context(), b.find(1), get(testkit.Patient)); r.Code != decide.OK || string(r.Body) != "right" {
+					t.Errorf("%s after %v: %v %q", name, late, r.Code, r.Body)
+				}
+				<-sent
+				if text, open := "", true; late > 0 && len(b.find(1).idle) > 0 { // what has been written comes
+					c := b.find(1).idle[0]
+					for end := time.Now().Add(testkit.Patient); text == "" && open && time.Now().Before(end); text, open = c.behind() {
+						time.Sleep(time.Millisecond)
+					}
+				}
+			}
+			b.Update(core.List{Full: true})
+		}
+	}
+}
+
+// A connection rests after an answer: what comes right behind it may come only when it would be in use again.
+func TestRest(t *testing.T) {
+	t.Parallel()
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("x") }))
+	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b.Update(testkit.Known(addr))
+	h := b.find(1)
+	for _, c := range []struct {
+		rested time.Duration
+		open   int
+	}{{0, 1}, {-testkit.Patient, 2}, {restLeast, 2}} {
+		for _, idle := range h.idle {
+			idle.since = time.Now().Add(-c.rested)
+		}
+		if r := b.do(t.Context(), h, get(testkit.Patient)); r.Code != decide.OK || b.open != c.open {
+			t.Errorf("rested %v: %v, %d open, want %d", c.rested, r.Code, b.open, c.open)
+		}
+	}
+	b.Update(core.List{Full: true})
+}
+
+// inPieces is answering for what is written in pieces.
+func inPieces(reply func(net.Conn)) func(net.Conn) {
+	return func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			reply(c)
+		}
+	}
+}
+
+// A report counts only if all of it makes sense.
+func TestReport(t *testing.T) {
+	t.Parallel()
+	if r := parseReport("inflight=7,queue=2"); r == nil || r.InFlight != 7 || r.Queue != 2 {
+		t.Errorf("%+v", r)
+	}
+	for _, text := range []string{"", "=,=", "%%%", `{"`, "inflight=-1", "inflight=NaN", "inflight=Inf", "inflight=1e30", "inflight=7,queue", "inflight=7,=", "other=1"} {
+		if r := parseReport(text); r != nil {
+			t.Errorf("%q: %+v", text, r)
+		}
+	}
+}
+
+// A new backend at the address of one that is still listed has taken its place: nothing goes to the old one, nor
+// on its connections.
+func TestAddressTakenOver(t *testing.T) {
+	t.Parallel()
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("x") }))
+	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b.Update(testkit.Known(addr))
+	if r := b.do(t.Context(), b.find(1), get(testkit.Patient)); r.Code != decide.OK || b.open != 1 {
+		t.Fatalf("%v, %d open", r.Code, b.open)
+	}
+	news := testkit.Known(addr, addr)
+	news.Entries[1].StartedAt = 1
+	for _, full := range []bool{false, true} {
+		news.Full = full
+		b.Update(news)
+		if r := b.do(t.Context(), b.find(1), get(testkit.Patient)); r.Code != decide.ConnectFailed {
+			t.Errorf("the old one: %v, %d open", r.Code, b.open)
+		}
+		if r := b.do(t.Context(), b.find(2), get(testkit.Patient)); r.Code != decide.OK || b.open != 1 {
+			t.Errorf("the new one: %v, %d open", r.Code, b.open)
+		}
+		time.Sleep(2 * restLeast)
+	}
+	b.Update(core.List{Full: true})
+}
+
+// A machine that says nothing when connected to takes a part of the descriptors only.
+func TestDialsBounded(t *testing.T) {
+	t.Parallel()
+	b := New(testkit.Settings(), 192, 16, testkit.Quiet)
+	b.Update(testkit.Known("127.0.0.1:1"))
+	h := b.find(1)
+	h.dials = 2
+	if r := b.do(t.Context(), h, get(testkit.Patient)); r.Code != decide.Moot || b.open != 0 {
+		t.Errorf("%v (%v), %d open", r.Code, r.Err, b.open)
+	}
+}
+
+// After connecting, what has changed in the meantime counts: nothing is written.
+func TestLookAgainBeforeWriting(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { got.Add(1); return testkit.OK("x") }))
+	fresh := func() (*Transport, *host) {
+		b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+		b.Update(testkit.Known(addr))
+		return b, b.find(1)
+	}
+	for name, c := range map[string]struct {
+		change func(*Transport, *core.Exchange, context.CancelFunc)
+		want   decide.OutcomeCode
+	}{
+		"draining": {func(b *Transport, _ *core.Exchange, _ context.CancelFunc) {
+			l := testkit.Known(addr)
+			l.Full, l.Entries[0].State = false, decide.Draining
+			b.Update(l)
+		}, decide.ConnectFailed},
+		"gone from the list": {func(b *Transport, _ *core.Exchange, _ context.CancelFunc) { b.Update(core.List{Full: true}) }, decide.ConnectFailed},
+		"restarted": {func(b *Transport, _ *core.Exchange, _ context.CancelFunc) {
+			l := testkit.Known(addr)
+			l.Entries[0].StartedAt = 1
+			b.Update(l)
+		}, decide.ConnectFailed},
+		"window over": {func(_ *Transport, x *core.Exchange, _ context.CancelFunc) { x.WriteBy = time.Now() }, decide.Moot},
+		"too late":    {func(_ *Transport, x *core.Exchange, _ context.CancelFunc) { x.Deadline = time.Now() }, decide.ConnectFailed},
+		"called off":  {func(_ *Transport, _ *core.Exchange, cancel context.CancelFunc) { cancel() }, decide.Cancelled},
+	} {
+		b, h := fresh()
+		// An idle connection, so that connecting succeeds whatever the time.
+		c1, err := b.connect(t.Context(), h, time.Now().Add(testkit.Patient))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		x := get(testkit.Patient)
+		b.release(h, c1, true)
+		c.change(b, x, cancel)
+		if r := b.do(ctx, h, x); r.Code != c.want {
+			t.Errorf("%s: outcome %v (%v), want %v", name, r.Code, r.Err, c.want)
+		}
+		cancel()
+		b.Update(core.List{Full: true})
+		if b.open != 0 {
+			t.Errorf("%s: %d connections left", name, b.open)
+		}
+	}
+	if got.Load() > 0 {
+		t.Errorf("the backend got %d requests", got.Load())
+	}
+}
+
+// A refused connection never ran, and the bound on connections is kept, by closing idle ones first.
+func TestConnecting(t *testing.T) {
+	t.Parallel()
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("x") }))
+	other := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("x") }))
+	refused, err := net.Dial("tcp", addr) // nobody listens at its own end, and nobody else can
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer refused.Close()
+	b := New(testkit.Settings(), 192, 1, testkit.Quiet)
+	b.Update(testkit.Known(addr, other, refused.LocalAddr().String()))
+	for i, want := range map[decide.ServerID]decide.OutcomeCode{1: decide.OK, 2: decide.OK, 3: decide.ConnectFailed, 4: decide.ConnectFailed} {
+		if r := b.do(t.Context(), b.find(i), get(testkit.Patient)); r.Code != want {
+			t.Errorf("backend %d: %v (%v)", i, r.Code, r.Err)
+		}
+	}
+	held, err := b.connect(t.Context(), b.find(1), time.Now().Add(testkit.Patient))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := b.do(t.Context(), b.find(2), get(testkit.Patient)); r.Code != decide.Moot { // the backend is not to blame
+		t.Errorf("beyond the bound: %v", r.Code)
+	}
+	b.release(b.find(1), held, true)
+	b.CloseIdle(1)
+	if b.open != 0 {
+		t.Errorf("%d connections left", b.open)
+	}
+}
+
+// A backend that let an attempt time out in silence may have been cut off: its idle connections are not used
+// again. One that has answered in the meantime keeps them.
+func TestSilenceClosesIdle(t *testing.T) {
+	t.Parallel()
+	addr := testkit.Server(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	for heard, want := range map[bool]int{false: 0, true: 1} {
+		b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+		b.Update(testkit.Known(addr))
+		h := b.find(1)
+		var conns [2]*conn
+		for i := range conns {
+			var err error
+			if conns[i], err = b.connect(t.Context(), h, time.Now().Add(testkit.Patient)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, c := range conns {
+			b.release(h, c, true)
+		}
+		time.Sleep(2 * restLeast)
+		if heard {
+			h.heard = time.Now().Add(testkit.Patient)
+		}
+		if r := b.do(t.Context(), h, get(time.Second)); r.Code != decide.TimedOut {
+			t.Errorf("outcome %v (%v)", r.Code, r.Err)
+		}
+		if len(h.idle) != want {
+			t.Errorf("heard of it: %v; %d idle connections kept, want %d", heard, len(h.idle), want)
+		}
+		b.Update(core.List{Full: true})
+	}
+}
+
+// A list of thousands: each change costs what changed, an address that is taken over is found at once, and at the bound the
+// connection that has been idle longest makes room.
+func TestManyHosts(t *testing.T) {
+	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	l := testkit.Known(make([]string, 10_000)...)
+	for i := range l.Entries {
+		l.Entries[i].Addr = "127.0.0.1:" + time.Duration(i).String()
+	}
+	b.Update(l)
+	b.Update(l)
+	if len(b.hosts) != 10_000 || len(b.byAddr) != 10_000 {
+		t.Errorf("%d hosts, %d addresses", len(b.hosts), len(b.byAddr))
+	}
+	b.Update(core.List{Full: true, Entries: l.Entries[:5000]})
+	if len(b.hosts) != 5000 || len(b.byAddr) != 5000 {
+		t.Errorf("%d hosts, %d addresses", len(b.hosts), len(b.byAddr))
+	}
+}
+
+func BenchmarkFullListOfHosts(b *testing.B) {
+	hosts := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	l := testkit.Known(make([]string, 10_000)...)
+	for i := range l.Entries {
+		l.Entries[i].Addr = "127.0.0.1:" + time.Duration(i).String()
+	}
+	b.ReportAllocs()
+	for range b.N {
+		hosts.Update(l)
+	}
+}
+
+// What comes back from a server, and the outcome that it is.
+func TestOutcomes(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		reply string
+		code  decide.OutcomeCode
+	}{
+		"served":           {testkit.OK("x"), decide.OK},
+		"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", decide.OK},
+		"interim":          {"HTTP/1.1 103 Early Hints\r\n\r\n" + testkit.OK("x"), decide.OK},
+		"many interim":     {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + testkit.OK("x"), decide.OK},
+		"endless interim":  {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1<<15), decide.Reset},
+		"another protocol": {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + testkit.OK("x"), decide.Reset},
+		"copy behind":      {testkit.OK("x") + testkit.OK("x"), decide.OK},
+		"part of a copy":   {testkit.OK("x") + "HTT", decide.OK},
+		"noise behind":     {testkit.OK("x") + "\x8e1\xc0", decide.Reset},
+		"short length":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcd", decide.Reset},
+		"short by much":    {"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 20000), decide.Reset},
+		"two lengths":      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nabcd", decide.Reset},
+		"negative length":  {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 4\r\n\r\nabcd", decide.Reset},
+		"no end of length": {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20), decide.Reset},
+		"odd report":       {"HTTP/1.1 200 OK\r\nX-Backend-Load: =,=\r\nContent-Length: 1\r\n\r\nx", decide.OK},
+		"client's fault":   {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", decide.Cancelled},
+		"error":            {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		"503 without mark": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		"turned away":      {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		"too late":         {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		"500 with mark":    {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		"silent close":     {"", decide.Reset},
+		"garbage":          {"\x00\x01 what\r\n\r\n", decide.Reset},
+		"truncated":        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nx", decide.Reset},
+		"truncated chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nx", decide.Reset},
+		"no end":           {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nx", decide.Reset},
+		"huge header":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20) + "\r\nContent-Length: 1\r\n\r\nx", decide.Reset},
+		"large":            {testkit.OK(strings.Repeat("x", 6*bodyLimit)), decide.OK},
+		"too large":        {testkit.OK(strings.Repeat("x", answerLimit+1)), decide.Reset},
+		"too large chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", 20), decide.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := testkit.Server(t, func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					io.WriteString(conn, c.reply)
+				}
+			})
+			b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+			b.Update(testkit.Known(addr))
+			if r := b.do(t.Context(), b.find(1), get(testkit.Patient)); r.Code != c.code {
+				t.Errorf("outcome %v (%v), want %v", r.Code, r.Err, c.code)
+			}
+		})
+	}
+}
