Ledger of hand-offs, crossing decider and the link over QUIC, not yet switched on

Need: what one hall refuses another could serve, over a link that may break at any moment, with nothing unsafe run twice.

Change: internal/ledger (pure: taken, ended, fenced, bounded in entries, bytes and sessions), internal/cross (pure: what may cross, within credit that lapses, sites left alone after doubt), internal/link (QUIC with mutual TLS 1.3, a stream a hand-off, questions after a break by any path to the same process), internal/standin.Wire (a UDP path that is delayed, thinned, cut either way), core.Remote as a port, decide: foreign requests are served by normal servers only and have no part in what is shed.

Nothing uses it yet.

--- a/decide/api.go
+++ b/decide/api.go
@@ -217,6 +217,7 @@
 		HasHint  bool
 		Repeat   bool // the client has tried before
 		Write    bool
+		Foreign  bool // another site hands it over: served only from what this one has to spare
 	}
 	// ListUpdate is news of the servers.
 	ListUpdate struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,6 +62,7 @@
 	roundTicks  = 20                     // ticks in which every server is looked at once
 	sweepLeast  = 256                    // servers looked at in a tick, where there are so many
 	sweepMost   = 1024
+	spareMost   = 256 // servers looked at for what is spare
 	atOnce      = 512 // servers: a subset up to this size follows a change of the list at once
 )
 
@@ -586,28 +587,38 @@
 	m.requests[e.ID], m.open = r, append(m.open, r)
 	m.arrivals, m.arrivedAt = m.arrivals*decay(m.now-m.arrivedAt, rateMemory)+1/rateMemory, m.now
 	m.worth += classGain * (c.Worth - m.worth)
+	r.foreign = e.Foreign
 	r.priority = c.Worth >= math.Min(m.worth, worthPart*m.top) // the paper's priority messages
 	if t := m.tenants[e.Tenant]; t != nil && !t.within(m.now) {
 		r.priority = false // over its tenant's share a request is worth little
 	}
-	m.n2++
-	if r.priority {
-		m.n1, m.n2 = m.n1+1, m.n2-1
+	switch {
+	case r.foreign: // served from what is spare: it has no part in what is shed
+		r.priority = false
+	case r.priority:
+		m.n1++
+	default:
+		m.n2++
 	}
 	m.budget = math.Min(retryBurst, m.budget+retryBudget)
 	// A trial leaves time for a second attempt, also where all is slow: or no suspect would be tried again.
 	wait := time.Duration(muteFactor * m.mean * c.relative * float64(time.Second))
-	if s := m.dueTrial(r); m.send(r, s, min(max(m.set.ConnectTimeout, wait), c.Aim/3)) {
+	if s := m.dueTrial(r); !r.foreign &&
+		m.send(r, s, min(max(m.set.ConnectTimeout, wait), c.Aim/3)) {
 		s.trialWait = min(2*s.trialWait, trialLast)
 		r.trial, s.trialAt = true, m.now+m.jitter(s.trialWait)
 		m.place(s)
 		return
 	}
-	if m.ownQ > 0 && m.random() < r.drop(ShedSplit(m.ownQ, m.n1, m.n2)) {
+	if r.foreign && m.ownMode != Normal ||
+		m.ownQ > 0 && m.random() < r.drop(ShedSplit(m.ownQ, m.n1, m.n2)) {
 		m.finish(r, ByNode)
 		return
 	}
 	s, mode := m.pick(r)
+	if r.foreign && mode != Normal {
+		s = nil
+	}
 	// From H to R a server may hold more than it can serve soon, or may just be sent more than before: it is the
 	// delay that tells, and nothing is shed before that shows.
 	if mode == Overloaded && !m.calm(s) && m.random() < r.drop(m.q1, m.q2) {
@@ -618,6 +629,25 @@
 	}
 }
 
+// Headroom is the number of requests more that this node may have at its servers while each stays normal
+// and under L: what other sites may be told of. It looks at a sample where there are many.
+func (m *Module) Headroom(now Time) float64 {
+	if m.now = max(m.now, now); !m.learned || m.ownMode != Normal || len(m.near) == 0 {
+		return 0
+	}
+	looks := min(len(m.near), spareMost)
+	spare, start := 0.0, m.cursor
+	for i := range looks {
+		s := m.near[(start+i)%len(m.near)]
+		if s.suspect || s.cold || m.modeOf(s) != Normal {
+			continue
+		}
+		n, h := m.crowd(s)
+		spare += math.Max(0, lowPart*h-n)
+	}
+	return spare * float64(len(m.near)) / float64(looks)
+}
+
 // drop is the drop probability that holds for a request.
 func (r *request) drop(q1, q2 float64) float64 {
 	if r.priority {
--- a/decide/state.go
+++ b/decide/state.go
@@ -70,6 +70,7 @@
 	attempts                       []attempt
 	first                          [1]attempt // where the usual single attempt is kept
 	out                            int
+	foreign                        bool
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
 }
 
--- /dev/null
+++ b/internal/core/exchange.go
@@ -0,0 +1,38 @@
+package core
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// WriteHTTP puts a request into the form that it has on a connection. All its parts have been read by net/http, which
+// lets no line break through.
+func (x *Exchange) WriteHTTP(to *bytes.Buffer) {
+	uri := x.URL.RequestURI()
+	to.Grow(1<<10 + len(x.Body))
+	to.WriteString(x.Method)
+	to.WriteByte(' ')
+	to.WriteString(uri)
+	to.WriteString(" HTTP/1.1\r\nHost: ")
+	to.WriteString(x.URL.Host)
+	to.WriteString("\r\n")
+	for name, values := range x.Header {
+		for _, v := range values {
+			to.WriteString(name)
+			to.WriteString(": ")
+			to.WriteString(v)
+			to.WriteString("\r\n")
+		}
+	}
+	to.WriteString("X-Time-Left: ")
+	left := max(0, time.Until(x.Deadline))
+	to.Write(strconv.AppendFloat(to.AvailableBuffer(), left.Seconds(), 'f', 3, 64))
+	if len(x.Body) > 0 || x.Method == http.MethodPost {
+		to.WriteString("\r\nContent-Length: ")
+		to.Write(strconv.AppendInt(to.AvailableBuffer(), int64(len(x.Body)), 10))
+	}
+	to.WriteString("\r\n\r\n")
+	to.Write(x.Body)
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -39,6 +39,8 @@
 	transport Transport
 	members   Membership
 	messenger Messenger
+	remote    Remote                   // nil: nothing crosses
+	effects   map[string]decide.Effect // of classes
 	log       *slog.Logger
 	lag       *lagMeter // nil: not measured
 
@@ -69,6 +71,7 @@
 	Transport Transport
 	Members   Membership
 	Messenger Messenger
+	Remote    Remote // nil: what this hall refuses is refused
 	Log       *slog.Logger
 }
 
@@ -80,7 +83,9 @@
 	}
 	now := time.Now()
 	windows := map[string]time.Duration{}
+	effects := map[string]decide.Effect{}
 	for _, class := range o.Settings.Classes {
+		effects[class.Name] = class.Effect
 		if class.Effect == decide.Keyed {
 			windows[class.Name] = class.DedupWindow
 		}
@@ -89,10 +94,16 @@
 		o.Messenger = noMessenger{}
 	}
 	return &Loop{windows: windows, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
-		messenger: o.Messenger, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
+		messenger: o.Messenger, remote: o.Remote, effects: effects, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
 		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{}, ready: map[decide.ServerID]bool{}}, nil
 }
 
+// Headroom is the number of requests more that the servers would take while all stay calm: see decide.Module.Headroom.
+func (l *Loop) Headroom() (n float64) {
+	l.post(func() { n = l.module.Headroom(l.now()) })
+	return n
+}
+
 // Able tells whether some server is ready.
 func (l *Loop) Able() bool { return l.able.Load() }
 
@@ -183,7 +194,10 @@
 	case decide.Send:
 		l.send(a)
 	case decide.Refuse:
-		l.finish(a.ID, Answer{Status: http.StatusServiceUnavailable, HoldOff: a.HoldOff, Reason: a.Reason})
+		refusal := Answer{Status: http.StatusServiceUnavailable, HoldOff: a.HoldOff, Reason: a.Reason}
+		if !l.cross(a.ID, refusal) {
+			l.finish(a.ID, refusal)
+		}
 	case decide.Fail:
 		l.finish(a.ID, Answer{Status: http.StatusBadGateway})
 	case decide.CancelAttempt:
@@ -233,9 +247,55 @@
 	r.arriving = false
 }
 
+// cross hands a request that the module has refused to another site, if it may go there. Its id stays open for as long:
+// the same id coming again would be a second copy.
+func (l *Loop) cross(id decide.RequestID, refusal Answer) bool {
+	r := l.requests[id]
+	if l.remote == nil || r == nil || r.over || r.abroad != nil {
+		return false
+	}
+	ran := r.out > 0
+	for _, t := range r.attempts {
+		ran = ran || !t.neverRan
+	}
+	effect, known := l.effects[r.Arrived.Class]
+	if !known {
+		return false
+	}
+	c := l.remote.Offer(r, effect, ran)
+	if c == nil {
+		return false
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	r.abroad = cancel
+	r.out++
+	l.work.Go(func() {
+		defer cancel()
+		a, how := c.Cross(ctx)
+		switch {
+		case how == CrossedServed:
+		case how == CrossedNever, effect == decide.Safe:
+			a = refusal
+		default:
+			a = Answer{Status: http.StatusBadGateway}
+		}
+		l.post(func() {
+			r.out--
+			if !r.over {
+				r.answer <- a
+			}
+			l.close(r)
+		})
+	})
+	return true
+}
+
 // abandon ends a request whose client is gone.
 func (l *Loop) abandon(r *Request) {
 	if l.requests[r.Arrived.ID] == r && !r.over {
+		if r.abroad != nil {
+			r.abroad()
+		}
 		l.close(r)
 		l.handle(decide.RequestAbandoned{ID: r.Arrived.ID})
 	}
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -56,6 +56,32 @@
 	Close()
 }
 
+// Remote hands requests that this hall refuses to other sites.
+type Remote interface {
+	// Offer is asked, under the loop's lock, for a request that the module has just refused; ran tells whether some
+	// attempt of it may have run. It gives nil if the request stays. It must not block.
+	Offer(r *Request, effect decide.Effect, ran bool) Crossing
+}
+
+// Crossing is a hand-off that has been decided on.
+type Crossing interface {
+	// Cross makes it and blocks until it has ended, by the request's deadline at the latest. An end of ctx means that
+	// the client has gone.
+	Cross(ctx context.Context) (Answer, Crossed)
+}
+
+// Crossed is how a hand-off ended.
+type Crossed int
+
+const (
+	// CrossedServed: the answer is the other site's.
+	CrossedServed Crossed = iota
+	// CrossedNever: it has not run there, and will not.
+	CrossedNever
+	// CrossedDoubt: it may have run, or may yet.
+	CrossedDoubt
+)
+
 // Messenger carries datagrams to other nodes of the tier, perhaps. It never blocks.
 type Messenger interface {
 	Send(to int, toAll bool, data []byte)
@@ -126,5 +152,6 @@
 	over     bool
 	out      int
 	attempts []*attempt
-	window   time.Duration // for keyed ones: how long servers remember the key
+	window   time.Duration      // for keyed ones: how long servers remember the key
+	abroad   context.CancelFunc // while it is at another site
 }
--- /dev/null
+++ b/internal/cross/cross_test.go
@@ -0,0 +1,164 @@
+package cross
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"starlingvalve/decide"
+)
+
+const ms = time.Millisecond
+
+func ready(most, credit int) *Decider {
+	d := New([]string{"b"}, most, 1)
+	d.Link(0, 0, true)
+	d.Credit(0, 0, credit, 2*ms)
+	return d
+}
+
+var safe = Request{Effect: decide.Safe, Left: time.Second}
+
+// What may cross at all.
+func TestWhatMayCross(t *testing.T) {
+	for name, c := range map[string]struct {
+		r    Request
+		want int
+	}{
+		"safe":               {safe, 0},
+		"unsafe":             {Request{Effect: decide.Unsafe, Left: time.Second}, 0},
+		"unsafe that ran":    {Request{Effect: decide.Unsafe, Left: time.Second, Ran: true}, -1},
+		"safe that ran":      {Request{Effect: decide.Safe, Left: time.Second, Ran: true}, 0},
+		"keyed":              {Request{Effect: decide.Keyed, Left: time.Second}, -1},
+		"from another site":  {Request{Effect: decide.Safe, Left: time.Second, Came: true}, -1},
+		"no time for a trip": {Request{Effect: decide.Safe, Left: 2 * ms}, -1},
+	} {
+		if got := ready(9, 9).Offer(0, c.r); got != c.want {
+			t.Errorf("%s: site %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+// Credit lapses, and a link that is down has none.
+func TestCreditLapses(t *testing.T) {
+	d := ready(9, 9)
+	if d.Offer(CreditLife, safe) != 0 || d.Offer(CreditLife+1, safe) != -1 {
+		t.Error("credit does not lapse when it should")
+	}
+	d.Credit(time.Second, 0, 9, 0)
+	d.Link(time.Second, 0, false)
+	d.Link(time.Second, 0, true)
+	if d.Offer(time.Second, safe) != -1 {
+		t.Error("credit outlives the link")
+	}
+}
+
+// The second site is taken when the first has no room.
+func TestOrderOfSites(t *testing.T) {
+	d := New([]string{"b", "c"}, 9, 1)
+	for i := range 2 {
+		d.Link(0, i, true)
+		d.Credit(0, i, 1, 0)
+	}
+	for _, want := range []int{0, 1, -1} {
+		if got := d.Offer(0, safe); got != want {
+			t.Errorf("site %d, want %d", got, want)
+		}
+	}
+}
+
+// A site of which hand-offs end in doubt is left alone, then tried with one safe request; the pauses grow, and one that
+// answers is open again.
+func TestLeftAloneAndTried(t *testing.T) {
+	d := ready(9, 9)
+	now := time.Duration(0)
+	fresh := func() { d.Credit(now, 0, 9, 2*ms) }
+	for range doubtful {
+		if d.Offer(now, safe) != 0 {
+			t.Fatal("left alone too early")
+		}
+		d.Ended(now, 0, Doubt, time.Second)
+	}
+	last := time.Duration(0)
+	for round := range 6 {
+		began := now
+		for fresh(); d.Offer(now, safe) < 0; fresh() {
+			now += 10 * ms
+			if now-began > 2*pauseLast {
+				t.Fatal("never tried again")
+			}
+		}
+		if d.Offer(now, safe) >= 0 || d.Offer(now, Request{Effect: decide.Unsafe, Left: time.Second}) >= 0 {
+			t.Error("tried with more than one")
+		}
+		if pause := now - began; round > 0 && pause < last/4 {
+			t.Errorf("pause %v after %v", pause, last)
+		} else {
+			last = pause
+		}
+		d.Ended(now, 0, Unseen, 0)
+	}
+	now += 2 * pauseLast
+	fresh()
+	if d.Offer(now, Request{Effect: decide.Unsafe, Left: time.Second}) >= 0 {
+		t.Error("an unsafe request is the trial")
+	}
+	if d.Offer(now, safe) < 0 {
+		t.Fatal("no trial")
+	}
+	d.Ended(now, 0, Served, 10*ms)
+	if d.Offer(now, safe) < 0 || d.Offer(now, safe) < 0 {
+		t.Error("still closed after an answer")
+	}
+}
+
+// Whatever happens, no more is out at a site than its last word allows and its bound, and what is out is counted right.
+func TestNeverMoreThanCredit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(1, 5).Draw(t, "most")
+		d := New([]string{"b", "c"}, most, 3)
+		now := time.Duration(0)
+		credit, at, up, out := [2]int{}, [2]time.Duration{}, [2]bool{}, [2]int{}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			i := rapid.IntRange(0, 1).Draw(t, "site")
+			switch rapid.SampledFrom([]string{"credit", "offer", "offer", "end", "link", "wait"}).Draw(t, "step") {
+			case "credit":
+				credit[i], at[i] = rapid.IntRange(-1, 8).Draw(t, "n"), now
+				d.Credit(now, i, credit[i], 0)
+			case "offer":
+				if got := d.Offer(now, safe); got >= 0 {
+					if !up[got] || now-at[got] > CreditLife || out[got] >= min(credit[got], most) {
+						t.Fatalf("site %d: up %v, credit %d, %v old, %d out", got, up[got], credit[got], now-at[got], out[got])
+					}
+					out[got]++
+				}
+			case "end":
+				if out[i] > 0 {
+					out[i]--
+					d.Ended(now, i, rapid.SampledFrom([]Outcome{Served, TurnedAway, Unseen, Doubt, Withdrawn}).Draw(t, "outcome"), ms)
+				}
+			case "link":
+				if up[i] = !up[i]; !up[i] {
+					credit[i] = 0
+				}
+				d.Link(now, i, up[i])
+			case "wait":
+				now += time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * ms
+			}
+			if v := d.Views(now)[i]; v.Out != out[i] || v.Up != up[i] {
+				t.Fatalf("%+v, want %d out", v, out[i])
+			}
+		}
+	})
+}
+
+func BenchmarkStaysHome(b *testing.B) {
+	d := New([]string{"b", "c", "d"}, 256, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		if d.Offer(time.Second, safe) >= 0 {
+			b.Fatal("crossed")
+		}
+	}
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -34,6 +34,9 @@
 type Handler struct {
 	// Lost, if set, tells whether a request's connection was closed while the request was on its way: it is dropped.
 	Lost func(*http.Request) bool
+	// Foreign requests come from another site: they are served from what this one has to spare, and keyed ones are not
+	// taken, as the servers here have not seen the keys that those of their own site have.
+	Foreign bool
 
 	loop      *core.Loop
 	log       *slog.Logger
@@ -80,6 +83,10 @@
 		reject(w, http.StatusNotFound, "no such path")
 		return
 	}
+	if f.Foreign && settings.Effect == decide.Keyed {
+		reject(w, http.StatusForbidden, "keyed requests do not cross")
+		return
+	}
 	patience, status, fault := check(r, settings)
 	if fault != "" {
 		reject(w, status, fault)
@@ -106,6 +113,7 @@
 		return
 	}
 	req := newRequest(r, class, patience, body)
+	req.Arrived.Foreign = f.Foreign
 	if end := f.drainEnd.Load(); end != nil && req.Deadline.After(*end) {
 		req.Deadline = *end
 	}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,243 @@
+// Package gateway is what a node needs beside its own hall's parts to hand work to other sites and take theirs: the
+// configuration file, and the way of a hand-off into the node's own loop.
+package gateway
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"starlingvalve/internal/link"
+)
+
+// Config is a gateway file, checked. Paths in it are relative to its folder.
+type Config struct {
+	Path       string
+	Listen     netip.AddrPort // UDP; other sites' nodes call here
+	Identity   *link.Identity
+	Out, In    int     // hand-offs at once: to each site; from all sites
+	Entries    int     // of the ledger
+	Bytes      int     // of answers that the ledger keeps
+	SpareShare float64 // part of the spare capacity that other sites are told of
+}
+
+// file is the form of the file.
+type file struct {
+	Site struct {
+		Name        string `toml:"name"`
+		Listen      string `toml:"listen"`
+		Certificate string `toml:"certificate"`
+		Key         string `toml:"key"`
+	} `toml:"site"`
+	Limits struct {
+		Out        int     `toml:"handoffs_out"`
+		In         int     `toml:"handoffs_in"`
+		Entries    int     `toml:"ledger_entries"`
+		Bytes      int     `toml:"answer_bytes"`
+		SpareShare float64 `toml:"spare_share"`
+	} `toml:"limits"`
+	Peer []struct {
+		Name      string   `toml:"name"`
+		Roots     string   `toml:"roots"`
+		Addresses []string `toml:"addresses"`
+	} `toml:"peer"`
+}
+
+// Bounds of the figures in a file.
+const (
+	mostHandoffs = 4096
+	mostEntries  = 1_000_000
+	mostBytes    = 1 << 30
+	mostPeers    = 32
+	mostAddrs    = 16
+)
+
+var hostName = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?(\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*$`)
+
+// Load reads a file and checks all of it, certificates included, against the time now. An error is one line with file,
+// line and key.
+func Load(path string, now time.Time) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return parse(path, raw, now)
+}
+
+func parse(path string, raw []byte, now time.Time) (*Config, error) {
+	f := file{}
+	f.Limits.Out, f.Limits.In, f.Limits.Entries, f.Limits.Bytes, f.Limits.SpareShare = 256, 256, 10_000, 16<<20, 0.5
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		var strict *toml.StrictMissingError
+		var wrong *toml.DecodeError
+		switch {
+		case errors.As(err, &strict) && len(strict.Errors) > 0:
+			line, _ := strict.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d: %s: unknown key", path, line, strings.Join(strict.Errors[0].Key(), "."))
+		case errors.As(err, &wrong):
+			line, _ := wrong.Position()
+			return nil, fmt.Errorf("%s:%d: %s: %s", path, line, strings.Join(wrong.Key(), "."), oneLine(wrong.Error()))
+		}
+		return nil, fmt.Errorf("%s: %s", path, oneLine(err.Error()))
+	}
+	lines := keyLines(raw)
+	fault := func(key, format string, args ...any) error {
+		return fmt.Errorf("%s:%d: %s: %s", path, lines[key], key, oneLine(fmt.Sprintf(format, args...)))
+	}
+	c := &Config{Path: path, Out: f.Limits.Out, In: f.Limits.In, Entries: f.Limits.Entries, Bytes: f.Limits.Bytes, SpareShare: f.Limits.SpareShare,
+		Identity: &link.Identity{Site: f.Site.Name}}
+	var err error
+	if !hostName.MatchString(f.Site.Name) {
+		return nil, fault("site.name", "want a DNS name in lower case, have %q", f.Site.Name)
+	}
+	if c.Listen, err = netip.ParseAddrPort(f.Site.Listen); err != nil {
+		return nil, fault("site.listen", "want IP:port, have %q", f.Site.Listen)
+	}
+	for _, l := range []struct {
+		key               string
+		have, most, least int
+	}{{"limits.handoffs_out", c.Out, mostHandoffs, 1}, {"limits.handoffs_in", c.In, mostHandoffs, 1},
+		{"limits.ledger_entries", c.Entries, mostEntries, 1}, {"limits.answer_bytes", c.Bytes, mostBytes, 0}} {
+		if l.have < l.least || l.have > l.most {
+			return nil, fault(l.key, "want %d to %d, have %d", l.least, l.most, l.have)
+		}
+	}
+	if c.Entries < c.In {
+		return nil, fault("limits.ledger_entries", "want as many as handoffs_in (%d) at least, have %d", c.In, c.Entries)
+	}
+	if !(c.SpareShare >= 0 && c.SpareShare <= 1) {
+		return nil, fault("limits.spare_share", "want 0 to 1, have %v", c.SpareShare)
+	}
+	beside := func(name string) string {
+		if filepath.IsAbs(name) {
+			return name
+		}
+		return filepath.Join(filepath.Dir(path), name)
+	}
+	if c.Identity.Certificate, err = tls.LoadX509KeyPair(beside(f.Site.Certificate), beside(f.Site.Key)); err != nil {
+		return nil, fault("site.certificate", "%v", err)
+	}
+	if err := good(c.Identity.Certificate.Leaf, f.Site.Name, now); err != nil {
+		return nil, fault("site.certificate", "%v", err)
+	}
+	if len(f.Peer) > mostPeers {
+		return nil, fault("peer", "%d sites, %d at most", len(f.Peer), mostPeers)
+	}
+	seen := map[string]string{f.Site.Name: "site"}
+	for i, p := range f.Peer {
+		key := fmt.Sprintf("peer[%d].", i)
+		if !hostName.MatchString(p.Name) {
+			return nil, fault(key+"name", "want a DNS name in lower case, have %q", p.Name)
+		}
+		if other := seen[p.Name]; other != "" {
+			return nil, fault(key+"name", "%q is the name of %s already", p.Name, other)
+		}
+		seen[p.Name] = fmt.Sprintf("peer[%d]", i)
+		if len(p.Addresses) == 0 || len(p.Addresses) > mostAddrs {
+			return nil, fault(key+"addresses", "want 1 to %d, have %d", mostAddrs, len(p.Addresses))
+		}
+		for _, a := range p.Addresses {
+			at, err := netip.ParseAddrPort(a)
+			if err != nil {
+				return nil, fault(key+"addresses", "want IP:port, have %q", a)
+			}
+			if at == c.Listen {
+				return nil, fault(key+"addresses", "%s is this node's own", a)
+			}
+		}
+		roots, err := readRoots(beside(p.Roots), now)
+		if err != nil {
+			return nil, fault(key+"roots", "%v", err)
+		}
+		c.Identity.Peers = append(c.Identity.Peers, link.Peer{Name: p.Name, Roots: roots, Addresses: p.Addresses})
+	}
+	return c, nil
+}
+
+func good(leaf *x509.Certificate, name string, now time.Time) error {
+	if err := leaf.VerifyHostname(name); err != nil {
+		return err
+	}
+	if now.Before(leaf.NotBefore) || now.After(leaf.NotAfter) {
+		return fmt.Errorf("good from %s to %s only", leaf.NotBefore.Format(time.RFC3339), leaf.NotAfter.Format(time.RFC3339))
+	}
+	return nil
+}
+
+// readRoots takes a file of PEM certificates of which one at least is good now.
+func readRoots(path string, now time.Time) (*x509.CertPool, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	pool, some := x509.NewCertPool(), false
+	for {
+		var block *pem.Block
+		if block, raw = pem.Decode(raw); block == nil {
+			break
+		}
+		if block.Type != "CERTIFICATE" {
+			return nil, fmt.Errorf("%s: a block of type %q", path, block.Type)
+		}
+		cert, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		pool.AddCert(cert)
+		some = some || !now.Before(cert.NotBefore) && !now.After(cert.NotAfter)
+	}
+	if !some {
+		return nil, fmt.Errorf("%s: no certificate that is good now", path)
+	}
+	return pool, nil
+}
+
+func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
+
+// keyLines gives the line of each key of a well-formed file, "peer[0].name" for those of arrays, and of each table.
+func keyLines(raw []byte) map[string]int {
+	lines, count := map[string]int{}, map[string]int{}
+	p := unstable.Parser{}
+	p.Reset(raw)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			parts = append(parts, string(it.Node().Data))
+			if line == 0 {
+				line = p.Shape(it.Node().Raw).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table, lines[name] = name+".", line
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d].", name, count[name])
+			count[name]++
+			lines[name] = line
+			for _, key := range []string{"name", "roots", "addresses"} { // where a missing one is to be put
+				lines[table+key] = line
+			}
+		case unstable.KeyValue:
+			lines[table+name] = line
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,177 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Random hand-offs, questions, acknowledgements and times, on a ledger so small that its bounds bind all the time. What the
+// near side concludes is checked against what has run: "never ran" (Fenced, Refused) must stay true for ever.
+func TestNeverSeenStaysTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(Limits{Entries: 6, Bytes: 40, Sessions: 2, Keep: time.Second})
+		now := time.Duration(0)
+		type near struct {
+			name     string
+			s        *Session
+			next     uint64
+			acked    uint64
+			ran      map[uint64]bool
+			never    map[uint64]bool // the near side has acted on it
+			finished map[uint64]bool
+		}
+		var nears []*near
+		for i := range 3 {
+			nears = append(nears, &near{name: fmt.Sprint(i), next: 1, ran: map[uint64]bool{}, never: map[uint64]bool{}, finished: map[uint64]bool{}})
+		}
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			n := nears[rapid.IntRange(0, 2).Draw(t, "near")]
+			number := uint64(rapid.IntRange(0, int(n.next)+1).Draw(t, "number"))
+			switch rapid.SampledFrom([]string{"attach", "attach", "detach", "send", "slow", "slow", "late", "late", "late", "finish", "ask", "ask", "ask", "ack", "wait"}).Draw(t, "step") {
+			case "attach":
+				if n.s == nil {
+					n.s = l.Attach(now, n.name, n.next)
+				}
+			case "detach":
+				if n.s != nil {
+					n.s.Detach(now)
+					n.s = nil
+				}
+			case "slow": // sent, and it arrives later or never
+				if n.s != nil {
+					n.next++
+				}
+			case "send": // numbers are given out on a live session only
+				if n.s != nil {
+					number = n.next
+					n.next++
+				}
+				fallthrough
+			case "late":
+				if n.s == nil || number >= n.next && number != 0 {
+					break
+				}
+				if ok, _ := n.s.Take(now, number, now+time.Duration(rapid.IntRange(0, 2000).Draw(t, "left"))*time.Millisecond); ok {
+					if n.never[number] {
+						t.Fatalf("%d runs, though the near side was told that it never will", number)
+					}
+					if n.ran[number] {
+						t.Fatalf("%d runs twice", number)
+					}
+					n.ran[number] = true
+				}
+			case "finish":
+				if n.s != nil && n.ran[number] && !n.finished[number] {
+					n.finished[number] = true
+					n.s.Finish(now, number, Done, make([]byte, rapid.IntRange(0, 30).Draw(t, "answer")))
+				}
+			case "ask":
+				if n.s == nil || number == 0 || number >= n.next {
+					break
+				}
+				switch state, answer, kept := n.s.Ask(now, number); state {
+				case Fenced, Refused:
+					if n.ran[number] {
+						t.Fatalf("%d has run, and is called %v", number, state)
+					}
+					n.never[number] = true
+				case Running, Done:
+					if !n.ran[number] || state == Done && !n.finished[number] || !kept && answer != nil {
+						t.Fatalf("%d: %v", number, state)
+					}
+				}
+			case "ack":
+				if n.s != nil && number <= n.next && number > n.acked {
+					n.acked = number
+					n.s.Ack(number)
+				}
+			case "wait":
+				now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			}
+			entries, bytes, sessions := l.Size()
+			running, held := 0, 0
+			for _, s := range l.sessions {
+				held += len(s.entries)
+				count := 0
+				for _, e := range s.entries {
+					if e.state == Running {
+						count++
+					}
+				}
+				if count != s.running {
+					t.Fatalf("%d run, %d are counted", count, s.running)
+				}
+				running += count
+			}
+			if entries > 6 || bytes > 40 || sessions > 2 || entries != held || entries != len(l.due) {
+				t.Fatalf("%d entries (%d held, %d due), %d bytes, %d sessions", entries, held, len(l.due), bytes, sessions)
+			}
+		}
+	})
+}
+
+// A session that has been forgotten, or was another process's, knows nothing of the numbers before: they are unknown, not
+// "never seen".
+func TestForgottenSessionIsUnknown(t *testing.T) {
+	l := New(Limits{Sessions: 1, Keep: time.Second})
+	s := l.Attach(0, "a", 1)
+	if ok, _ := s.Take(0, 1, 0); !ok {
+		t.Fatal("not taken")
+	}
+	s.Finish(0, 1, Done, nil)
+	s.Detach(0)
+	if l.Attach(500*time.Millisecond, "b", 1) != nil {
+		t.Error("a session that may still be asked for was dropped")
+	}
+	other := l.Attach(3*time.Second, "b", 1)
+	if other == nil {
+		t.Fatal("the old session is still there")
+	}
+	other.Detach(3 * time.Second)
+	s = l.Attach(6*time.Second, "a", 2)
+	if state, _, _ := s.Ask(6*time.Second, 1); state != Unknown {
+		t.Errorf("%v, want unknown", state)
+	}
+	if state, _, _ := s.Ask(6*time.Second, 2); state != Fenced {
+		t.Errorf("%v, want fenced", state)
+	}
+}
+
+// Bytes of answers are bounded; one that finds no room is Done all the same, without an answer.
+func TestAnswersBounded(t *testing.T) {
+	l := New(Limits{Bytes: 10})
+	s := l.Attach(0, "a", 1)
+	for n := uint64(1); n <= 2; n++ {
+		s.Take(0, n, time.Second)
+		s.Finish(0, n, Done, make([]byte, 6))
+	}
+	if state, answer, kept := s.Ask(0, 1); state != Done || !kept || len(answer) != 6 {
+		t.Error("the first is not kept")
+	}
+	if state, _, kept := s.Ask(0, 2); state != Done || kept {
+		t.Error("the second is kept beyond the bound")
+	}
+	s.Ack(2)
+	if _, bytes, _ := l.Size(); bytes != 0 {
+		t.Errorf("%d bytes after the acknowledgement", bytes)
+	}
+}
+
+func BenchmarkHandoff(b *testing.B) {
+	l := New(Limits{})
+	s := l.Attach(0, "a", 1)
+	answer := make([]byte, 100)
+	b.ReportAllocs()
+	n := uint64(0)
+	for b.Loop() {
+		n++
+		s.Take(0, n, time.Second)
+		s.Finish(0, n, Done, answer)
+		if n%100 == 0 {
+			s.Ack(n - 50)
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,324 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/core"
+	"starlingvalve/internal/ledger"
+	"starlingvalve/internal/standin"
+	"starlingvalve/internal/testkit"
+)
+
+// sites are a near and a far one, with a wire between.
+type sites struct {
+	t          *testing.T
+	a, b       *testkit.Authority
+	near, far  *Keeper
+	server     *Server
+	wire       *standin.Wire
+	dialer     *Dialer
+	runs       atomic.Int64
+	handle     atomic.Pointer[Handle]
+	serverDone chan error
+}
+
+func newSites(t *testing.T) *sites {
+	t.Helper()
+	s := &sites{t: t}
+	var err error
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.a, err = testkit.NewAuthority()
+	must(err)
+	s.b, err = testkit.NewAuthority()
+	must(err)
+	later := time.Now().Add(time.Hour)
+	certA, _, _, err := s.a.Issue("hall-a.example.org", later)
+	must(err)
+	certB, _, _, err := s.b.Issue("hall-b.example.org", later)
+	must(err)
+	s.far = NewKeeper(&Identity{Site: "hall-b.example.org", Certificate: certB, Peers: []Peer{{Name: "hall-a.example.org", Roots: s.a.Roots()}}})
+	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	s.start("127.0.0.1:0")
+	s.wire, err = standin.NewWire(s.server.tr.Conn.LocalAddr().String())
+	must(err)
+	s.near = NewKeeper(&Identity{Site: "hall-a.example.org", Certificate: certA,
+		Peers: []Peer{{Name: "hall-b.example.org", Roots: s.b.Roots(), Addresses: []string{s.wire.Addr}}}})
+	s.dialer, err = NewDialer(DialerOptions{Keeper: s.near, Log: testkit.Quiet})
+	must(err)
+	t.Cleanup(func() {
+		s.dialer.Close()
+		s.wire.Close()
+		s.stop()
+	})
+	return s
+}
+
+func (s *sites) answer(h Handle) { s.handle.Store(&h) }
+
+func (s *sites) start(addr string) {
+	s.t.Helper()
+	udp, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.server, err = NewServer(udp, ServerOptions{Keeper: s.far, Credit: func() int { return 100 }, Log: testkit.Quiet,
+		Handle: func(ctx context.Context, site string, request []byte, left time.Duration) (ledger.State, []byte) {
+			s.runs.Add(1)
+			return (*s.handle.Load())(ctx, site, request, left)
+		}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := s.server
+	s.serverDone = make(chan error, 1)
+	done := s.serverDone
+	go func() { done <- server.Serve() }()
+}
+
+func (s *sites) stop() {
+	s.server.Close()
+	<-s.serverDone
+}
+
+func request(class string, left time.Duration) *core.Request {
+	return &core.Request{Arrived: decide.RequestArrived{ID: "q", Class: class}, Deadline: time.Now().Add(left), Method: "POST",
+		URL: &url.URL{Path: "/" + class, Host: "h"}, Header: http.Header{"X-Correlation-Id": {"q"}}, Body: []byte("body")}
+}
+
+// offer waits until the far side takes something.
+func (s *sites) offer(r *core.Request, effect decide.Effect) core.Crossing {
+	s.t.Helper()
+	for end := time.Now().Add(testkit.Patient); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if c := s.dialer.Offer(r, effect, false); c != nil {
+			return c
+		}
+	}
+	s.t.Fatal("nothing may cross")
+	return nil
+}
+
+func (s *sites) settled() bool {
+	s.dialer.mu.Lock()
+	defer s.dialer.mu.Unlock()
+	return len(s.dialer.open) == 0 && s.dialer.settled == s.dialer.next
+}
+
+// A hand-off arrives as it is, with the time that is left, and its answer comes back.
+func TestHandoff(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	got := make(chan string, 1)
+	s.answer(func(_ context.Context, site string, text []byte, left time.Duration) (ledger.State, []byte) {
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text)))
+		if err != nil {
+			t.Error(err)
+			return ledger.Refused, nil
+		}
+		var body bytes.Buffer
+		body.ReadFrom(r.Body)
+		got <- fmt.Sprint(site, " ", r.Method, " ", r.URL.Path, " ", r.Header.Get("X-Correlation-Id"), " ", body.String(), " ", left > 8*time.Second && left < 10*time.Second)
+		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nX-Of: b\r\nContent-Length: 2\r\n\r\nok")
+	})
+	a, how := s.offer(request("order", 10*time.Second), decide.Unsafe).Cross(t.Context())
+	if how != core.CrossedServed || a.Status != 200 || string(a.Body) != "ok" || a.Header.Get("X-Of") != "b" {
+		t.Errorf("%v, %+v", how, a)
+	}
+	if text := <-got; text != "hall-a.example.org POST /order q body true" {
+		t.Errorf("the far side got %q", text)
+	}
+	if !s.settled() {
+		t.Error("the number is not settled")
+	}
+}
+
+// The link goes silent while the far side runs a hand-off, and comes back: the answer is asked for, nothing runs twice.
+func TestAnswerAfterSilence(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	began, let := make(chan struct{}), make(chan struct{})
+	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+		close(began)
+		<-let
+		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
+	go func() {
+		<-began
+		s.wire.Cut(true, true)
+		close(let)
+		for up := true; up; time.Sleep(10 * time.Millisecond) { // until the near side has given the connection up
+			s.dialer.mu.Lock()
+			up = s.dialer.sites[0].paths[0].session != nil
+			s.dialer.mu.Unlock()
+		}
+		s.wire.Cut(false, false)
+	}()
+	if a, how := c.Cross(t.Context()); how != core.CrossedServed || string(a.Body) != "ok" || s.runs.Load() != 1 {
+		t.Errorf("%v, %+v, %d runs", how, a, s.runs.Load())
+	}
+}
+
+// A hand-off that never arrived is fenced by the question, and so has not run.
+func TestNeverArrived(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
+	s.wire.Cut(true, false)
+	back := time.AfterFunc(2*silence, func() { s.wire.Cut(false, false) })
+	defer back.Stop()
+	if _, how := c.Cross(t.Context()); how != core.CrossedNever || s.runs.Load() != 0 {
+		t.Errorf("%v, %d runs", how, s.runs.Load())
+	}
+}
+
+// Cut for good: doubt, within the client's time; never later, and never called a refusal.
+func TestCutForGood(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	began := make(chan struct{})
+	s.answer(func(ctx context.Context, _ string, _ []byte, _ time.Duration) (ledger.State, []byte) {
+		close(began)
+		s.wire.Cut(true, true)
+		<-ctx.Done()
+		return ledger.Failed, nil
+	})
+	r := request("order", 1500*time.Millisecond)
+	if _, how := s.offer(r, decide.Unsafe).Cross(t.Context()); how != core.CrossedDoubt || time.Now().After(r.Deadline) {
+		t.Errorf("%v, %v after the client's time", how, time.Since(r.Deadline))
+	}
+	<-began
+}
+
+// The far node dies and comes back with an empty ledger: what it knew is gone, and that is doubt, at once.
+func TestFarNodeRestarts(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	addr := s.server.tr.Conn.LocalAddr().String()
+	s.answer(func(ctx context.Context, _ string, _ []byte, _ time.Duration) (ledger.State, []byte) {
+		<-ctx.Done()
+		return ledger.Failed, nil
+	})
+	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
+	go func() {
+		for s.runs.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		s.wire.Cut(true, true) // it dies without a word
+		s.stop()
+		s.start(addr)
+		s.wire.Cut(false, false)
+	}()
+	began := time.Now()
+	if _, how := c.Cross(t.Context()); how != core.CrossedDoubt || time.Since(began) > testkit.Patient/2 {
+		t.Errorf("%v after %v", how, time.Since(began))
+	}
+	if s.runs.Load() != 1 {
+		t.Errorf("%d runs", s.runs.Load())
+	}
+}
+
+// A client that goes takes its hand-off with it.
+func TestClientGone(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	began, gone := make(chan struct{}), make(chan struct{})
+	s.answer(func(ctx context.Context, _ string, _ []byte, _ time.Duration) (ledger.State, []byte) {
+		close(began)
+		<-ctx.Done()
+		close(gone)
+		return ledger.Failed, nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-began; cancel() }()
+	s.offer(request("order", testkit.Patient), decide.Unsafe).Cross(ctx)
+	select {
+	case <-gone:
+	case <-time.After(testkit.Patient / 2):
+		t.Error("the far side goes on")
+	}
+}
+
+// Many at once, over a wire that loses a twentieth and takes its time: none blocks another, each is answered once.
+func TestManyAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	s.wire.Delay(2 * time.Millisecond)
+	s.wire.Loss(50)
+	var work sync.WaitGroup
+	var served atomic.Int64
+	for range 60 {
+		c := s.offer(request("order", testkit.Patient), decide.Unsafe)
+		work.Go(func() {
+			if _, how := c.Cross(t.Context()); how == core.CrossedServed {
+				served.Add(1)
+			}
+		})
+	}
+	work.Wait()
+	if served.Load() != 60 || s.runs.Load() != 60 || !s.settled() {
+		t.Errorf("%d served, %d runs", served.Load(), s.runs.Load())
+	}
+}
+
+// Neither side talks to one whose certificate is expired, of another name, or by another site's authority.
+func TestCertificates(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(s *sites) (id Identity){
+		"expired": func(s *sites) Identity {
+			id := *s.near.Get()
+			id.Certificate, _, _, _ = s.a.Issue("hall-a.example.org", time.Now().Add(-time.Hour))
+			return id
+		},
+		"another name": func(s *sites) Identity {
+			id := *s.near.Get()
+			id.Certificate, _, _, _ = s.a.Issue("hall-c.example.org", time.Now().Add(time.Hour))
+			return id
+		},
+		"another authority": func(s *sites) Identity {
+			id := *s.near.Get()
+			id.Certificate, _, _, _ = s.b.Issue("hall-a.example.org", time.Now().Add(time.Hour))
+			return id
+		},
+		"the far side by another authority": func(s *sites) Identity {
+			id := *s.near.Get()
+			id.Peers = []Peer{{Name: "hall-b.example.org", Roots: s.a.Roots(), Addresses: id.Peers[0].Addresses}}
+			return id
+		},
+	} {
+		s := newSites(t)
+		s.offer(request("order", testkit.Patient), decide.Unsafe).Cross(t.Context()) // it is up
+		id := change(s)
+		d, err := NewDialer(DialerOptions{Keeper: NewKeeper(&id), Log: testkit.Quiet})
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := s.runs.Load()
+		err = d.connect(d.sites[0].paths[0])
+		if err == nil || !strings.Contains(err.Error(), "certificate") && !strings.Contains(err.Error(), "CRYPTO_ERROR") {
+			t.Errorf("%s: %v", name, err)
+		}
+		if d.Offer(request("order", time.Second), decide.Unsafe, false) != nil || s.runs.Load() != before {
+			t.Errorf("%s: a hand-off crossed", name)
+		}
+		d.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/wire.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Wire is a UDP path between two sites that can be delayed, thinned, and cut in either direction or both. What is cut is
+// silent: nothing comes and nobody is told.
+type Wire struct {
+	Addr string // where the near side sends to
+
+	front  *net.UDPConn
+	to     *net.UDPAddr
+	delay  atomic.Int64 // ns, each way
+	loss   atomic.Int64 // of 1,000 datagrams
+	toFar  atomic.Bool  // cut
+	toNear atomic.Bool
+	work   sync.WaitGroup
+	done   chan struct{}
+
+	mu     sync.Mutex
+	flows  map[string]*net.UDPConn
+	closed bool
+}
+
+const (
+	wireBuffer = 2048
+	wireFlows  = 256 // near sockets at once; more are not carried
+)
+
+// NewWire carries datagrams to a UDP address of the far side, until Close.
+func NewWire(to string) (*Wire, error) {
+	far, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		return nil, err
+	}
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	w := &Wire{Addr: front.LocalAddr().String(), front: front, to: far, done: make(chan struct{}), flows: map[string]*net.UDPConn{}}
+	w.work.Go(w.run)
+	return w, nil
+}
+
+// Delay sets the time that a datagram takes, each way.
+func (w *Wire) Delay(d time.Duration) { w.delay.Store(int64(d)) }
+
+// Loss sets how many of 1,000 datagrams are lost.
+func (w *Wire) Loss(perMille int) { w.loss.Store(int64(perMille)) }
+
+// Cut stops what goes to the far side, to the near side, or both; with neither, the wire is whole again.
+func (w *Wire) Cut(toFar, toNear bool) {
+	w.toFar.Store(toFar)
+	w.toNear.Store(toNear)
+}
+
+// Close ends it.
+func (w *Wire) Close() {
+	w.mu.Lock()
+	w.closed = true
+	close(w.done)
+	w.front.Close()
+	for _, c := range w.flows {
+		c.Close()
+	}
+	w.mu.Unlock()
+	w.work.Wait()
+}
+
+func (w *Wire) run() {
+	buf := make([]byte, wireBuffer)
+	for {
+		n, from, err := w.front.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		if c := w.flow(from); c != nil {
+			w.carry(&w.toFar, buf[:n], func(p []byte) { c.Write(p) })
+		}
+	}
+}
+
+// flow is the socket that stands for a near one at the far side.
+func (w *Wire) flow(from *net.UDPAddr) *net.UDPConn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.flows[from.String()]
+	if c != nil || w.closed || len(w.flows) >= wireFlows {
+		return c
+	}
+	c, err := net.DialUDP("udp", nil, w.to)
+	if err != nil {
+		return nil
+	}
+	w.flows[from.String()] = c
+	w.work.Go(func() {
+		buf := make([]byte, wireBuffer)
+		for {
+			n, err := c.Read(buf)
+			select {
+			case <-w.done:
+				return
+			default:
+			}
+			if err != nil { // the far side's port is closed: it may open again
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			w.carry(&w.toNear, buf[:n], func(p []byte) { w.front.WriteToUDP(p, from) })
+		}
+	})
+	return c
+}
+
+func (w *Wire) carry(cut *atomic.Bool, p []byte, send func([]byte)) {
+	if cut.Load() || rand.Int64N(1000) < w.loss.Load() {
+		return
+	}
+	d := time.Duration(w.delay.Load())
+	if d == 0 {
+		send(p)
+		return
+	}
+	p = append([]byte(nil), p...)
+	w.work.Add(1)
+	time.AfterFunc(d, func() {
+		defer w.work.Done()
+		if !cut.Load() {
+			send(p)
+		}
+	})
+}
--- a/internal/upstream/http1/backend.go
+++ b/internal/upstream/http1/backend.go
@@ -407,42 +407,12 @@
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// write puts a request into the form that it has on a connection. All its parts have been read by net/http, which
-// lets no line break through.
-func write(x *core.Exchange, to *bytes.Buffer) {
-	uri := x.URL.RequestURI()
-	to.Grow(1<<10 + len(x.Body))
-	to.WriteString(x.Method)
-	to.WriteByte(' ')
-	to.WriteString(uri)
-	to.WriteString(" HTTP/1.1\r\nHost: ")
-	to.WriteString(x.URL.Host)
-	to.WriteString("\r\n")
-	for name, values := range x.Header {
-		for _, v := range values {
-			to.WriteString(name)
-			to.WriteString(": ")
-			to.WriteString(v)
-			to.WriteString("\r\n")
-		}
-	}
-	to.WriteString("X-Time-Left: ")
-	left := max(0, time.Until(x.Deadline))
-	to.Write(strconv.AppendFloat(to.AvailableBuffer(), left.Seconds(), 'f', 3, 64))
-	if len(x.Body) > 0 || x.Method == http.MethodPost {
-		to.WriteString("\r\nContent-Length: ")
-		to.Write(strconv.AppendInt(to.AvailableBuffer(), int64(len(x.Body)), 10))
-	}
-	to.WriteString("\r\n\r\n")
-	to.Write(x.Body)
-}
-
 // roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
 func (b *Transport) roundTrip(c *conn, x *core.Exchange) (r core.Result, keep bool) {
 	text := buffers.Get().(*bytes.Buffer)
 	defer buffers.Put(text)
 	text.Reset()
-	write(x, text)
+	x.WriteHTTP(text)
 	if _, err := c.Write(text.Bytes()); err != nil {
 		return core.Result{Code: decide.ConnectFailed, Err: err}, false // its last byte was not written
 	}
