The gateway end to end: -gateway FILE, check, rig gateway with two halls and a link that breaks

Need: the ledger and the link had no way into the node.

Change: the link's server is a front of the loop and its dialer the loop's Remote; internal/gateway has the strict TOML file and the way of a hand-off through the handler that all fronts share; cobra commands check and version. decide: foreign requests go to normal servers under L only, and not within a second of a refusal of the hall's own; Headroom tells what is spare, also of an idle node. Headroom counts from L, so that it and the rule on a single request agree.

--- a/cmd/rig/child.go
+++ b/cmd/rig/child.go
@@ -196,6 +196,7 @@
 	coldFrom          float64
 	coldTime          time.Duration
 	listen, zone      string
+	args              []string
 }
 
 // node is a running node.
@@ -250,7 +251,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c, err := w.start([]string{"GW_CONFIG=" + path, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY="}, binary)
+		c, err := w.start([]string{"GW_CONFIG=" + path, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY="}, binary, o.args...)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/cmd/rig/gateway.go
@@ -0,0 +1,375 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"starlingvalve/internal/standin"
+)
+
+const (
+	hallNodes   = 2
+	hallServers = 4
+	hallCores   = 2
+	shortLoad   = 1.5 // of its capacity: what the hall that runs short is asked
+	calmLoad    = 0.4 // the other
+	leastGain   = 1.4 // worth with the link over worth without it, at the short hall
+	mostHarm    = 0.02
+)
+
+// hall is one site: servers, a registry and nodes, and a wire to the link port of each node.
+type hall struct {
+	name  string
+	fleet *fleet
+	auth  *standin.Authority
+	nodes []*node
+	links []string // UDP addresses of the nodes
+	wires []*standin.Wire
+	files []string // gateway files of the nodes
+}
+
+func (h *hall) close() {
+	for _, n := range h.nodes {
+		n.kill()
+	}
+	for _, w := range h.wires {
+		w.Close()
+	}
+	if h.fleet != nil {
+		h.fleet.Close()
+	}
+}
+
+// gatewayRig has one hall asked for more than it can do, beside one that has room, with a link between them that breaks.
+func gatewayRig(ctx context.Context, o *options, args []string) error {
+	var cuts, requests int
+	w, err := workshopFor(ctx, "gateway", args, func(fs *flag.FlagSet) {
+		fs.IntVar(&cuts, "cuts", 60, "how often the link breaks")
+		fs.IntVar(&requests, "requests", 20_000, "how many orders at least")
+	})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	calm := 15 * time.Second
+	if o.quick {
+		cuts, requests, calm = 8, 3000, 5*time.Second
+	}
+	capacity := hallServers * hallCores / meanWork()
+	var worth [2][2]float64 // by link off or on, by hall
+	for on := range 2 {
+		halls, err := openHalls(ctx, w, on == 1)
+		if err != nil {
+			return err
+		}
+		p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed}
+		p.run(ctx, fmt.Sprintf("calm%d", on), func(ctx context.Context) { sleepFor(ctx, calm) })
+		for i := range halls {
+			worth[on][i] = p.sums[i].Worth()
+			o.out.figure(fmt.Sprintf("gateway.calm.link=%v.%s.worth", on == 1, halls[i].name), worth[on][i], "of what was asked")
+			o.out.figure(fmt.Sprintf("gateway.calm.link=%v.%s.refused", on == 1, halls[i].name), p.sums[i].RefusedTries, "tries")
+		}
+		if on == 1 {
+			o.out.figure("gateway.calm.crossed", p.crossed(), "requests of one hall that ran in the other")
+			o.out.promise(p.crossed() > 0, "calm: the hall that runs short hands work over")
+			o.out.verdicts(standin.Check(p.evidence()))
+		}
+		closeHalls(halls)
+	}
+	gain := worth[1][0] / max(worth[0][0], 1e-9)
+	o.out.figure("gateway.calm.gain", gain, "times the worth without the link, at the short hall")
+	o.out.promise(gain >= leastGain, "calm: worth at least %.1f times that without the link", leastGain)
+	o.out.promise(worth[1][1] >= worth[0][1]-mostHarm, "calm: the other hall's own worth falls by %.2f at most: %.3f, %.3f without", mostHarm, worth[1][1], worth[0][1])
+
+	halls, err := openHalls(ctx, w, true)
+	if err != nil {
+		return err
+	}
+	defer closeHalls(halls)
+	p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed + 1}
+	kinds := map[string]int{}
+	p.run(ctx, "cuts", func(ctx context.Context) {
+		r := rand.New(rand.NewPCG(o.seed, 0x63757473))
+		for i := 0; ctx.Err() == nil && (i < cuts || p.orders() < requests); i++ {
+			kinds[breakLink(ctx, w, r, halls[1], i)]++
+		}
+		sleepFor(ctx, 2*time.Second)
+	})
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	total := 0
+	for kind, n := range kinds {
+		o.out.figure("gateway.cuts."+kind, n, "times")
+		total += n
+	}
+	o.out.figure("gateway.cuts", total, "times that the link broke")
+	o.out.figure("gateway.cuts.orders", p.orders(), "orders")
+	o.out.figure("gateway.cuts.crossed", p.crossed(), "requests of one hall that ran in the other")
+	for i, h := range halls {
+		o.out.figure("gateway.cuts."+h.name+".worth", p.sums[i].Worth(), "of what was asked")
+		o.out.figure("gateway.cuts."+h.name+".failed", p.sums[i].Failed, "orders")
+	}
+	statuses := map[string]int{}
+	for _, a := range p.evidence().Answers {
+		if a.Status != 200 {
+			statuses[fmt.Sprintf("%s.%d", a.Class, a.Status)]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(statuses)) {
+		o.out.figure("gateway.cuts.tries."+name, statuses[name], "tries that ended so")
+	}
+	o.out.promise(p.crossed() > 0, "cuts: work crosses")
+	o.out.promise(total >= cuts && p.orders() >= requests, "cuts: %d orders and %d cuts at least", requests, cuts)
+	for _, h := range halls {
+		for i, n := range h.nodes {
+			select {
+			case <-n.ended:
+				o.out.promise(false, "node %d of %s runs on: %v\n%s", i, h.name, n.err, n.log.String())
+			default:
+			}
+		}
+	}
+	o.out.verdicts(standin.Check(p.evidence()))
+	return nil
+}
+
+func meanWork() (seconds float64) {
+	work := kampklipWork(1)
+	for _, c := range kampklip {
+		seconds += c.Share * work[c.Name].Time.Seconds()
+	}
+	return seconds
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// openHalls starts two halls; with link, each has the other as its peer, over wires.
+func openHalls(ctx context.Context, w *workshop, link bool) (halls []*hall, err error) {
+	defer func() {
+		if err != nil {
+			closeHalls(halls)
+		}
+	}()
+	for _, name := range []string{"hall-a", "hall-b"} {
+		h := &hall{name: name}
+		halls = append(halls, h)
+		if h.fleet, err = newFleet(hallServers, hallCores, 60, kampklipWork(1)); err != nil {
+			return halls, err
+		}
+		if h.auth, err = standin.NewAuthority(); err != nil {
+			return halls, err
+		}
+		for range hallNodes {
+			udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+			if err != nil {
+				return halls, err
+			}
+			h.links = append(h.links, udp.LocalAddr().String())
+			udp.Close()
+			wire, err := standin.NewWire(h.links[len(h.links)-1])
+			if err != nil {
+				return halls, err
+			}
+			wire.Delay(time.Millisecond)
+			h.wires = append(h.wires, wire)
+		}
+	}
+	for i, h := range halls {
+		for n := range hallNodes {
+			if link {
+				file, err := gatewayFile(w, h, halls[1-i], n)
+				if err != nil {
+					return halls, err
+				}
+				h.files = append(h.files, file)
+			}
+			if err := h.start(ctx, w, n); err != nil {
+				return halls, err
+			}
+		}
+	}
+	return halls, nil
+}
+
+func closeHalls(halls []*hall) {
+	for _, h := range halls {
+		h.close()
+	}
+}
+
+// start starts a node of a hall, or starts it again.
+func (h *hall) start(ctx context.Context, w *workshop, n int) error {
+	o := nodeOptions{name: fmt.Sprintf("%s-%d", h.name, n), registry: h.fleet.registry.Addr, classes: kampklip, nodes: hallNodes, self: n, memoryMB: 192,
+		sockets: 1024, zone: "hall-a", coldFrom: 1, coldTime: time.Second}
+	if len(h.files) > 0 {
+		o.args = []string{"-gateway", h.files[n]}
+	}
+	started, err := w.node(ctx, w.binary, o)
+	if err != nil {
+		return err
+	}
+	if n < len(h.nodes) {
+		h.nodes[n] = started
+	} else {
+		h.nodes = append(h.nodes, started)
+	}
+	return nil
+}
+
+// gatewayFile writes the file of a node, and its certificate and the other site's root beside it.
+func gatewayFile(w *workshop, h, other *hall, n int) (string, error) {
+	_, cert, key, err := h.auth.Issue(h.name+".example.org", time.Now().Add(time.Hour))
+	if err != nil {
+		return "", err
+	}
+	base := filepath.Join(w.dir, fmt.Sprintf("%s-%d", h.name, n))
+	var addrs []string
+	for _, wire := range other.wires {
+		addrs = append(addrs, fmt.Sprintf("%q", wire.Addr))
+	}
+	text := fmt.Sprintf("[site]\nname = %q\nlisten = %q\ncertificate = %q\nkey = %q\n\n[[peer]]\nname = %q\nroots = %q\naddresses = [%s]\n",
+		h.name+".example.org", h.links[n], base+".crt", base+".key", other.name+".example.org", base+".roots", strings.Join(addrs, ", "))
+	for name, content := range map[string][]byte{".crt": cert, ".key": key, ".roots": other.auth.RootPEM(), ".toml": []byte(text)} {
+		if err := os.WriteFile(base+name, content, 0o600); err != nil {
+			return "", err
+		}
+	}
+	return base + ".toml", nil
+}
+
+// gatewayPlay is one load on two halls.
+type gatewayPlay struct {
+	halls    []*hall
+	capacity float64 // of a hall, requests a second
+	seed     uint64
+	loads    [2][]*standin.Load
+	sums     [2]standin.Sums
+}
+
+// run asks the first hall for more than it can do and the second for less, while during lasts, and waits for the rest.
+func (p *gatewayPlay) run(ctx context.Context, prefix string, during func(context.Context)) {
+	inner, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	for i, times := range []float64{shortLoad, calmLoad} {
+		h := p.halls[i]
+		nodes := h.nodes
+		if i == 1 {
+			nodes = nodes[:1] // the second may be killed: it serves hand-offs only
+		}
+		for n, node := range nodes {
+			l := &standin.Load{Addr: node.addr, Classes: kampklip, Retries: 2, Prefix: fmt.Sprintf("%s-%s-%d-", prefix, h.name, n), KeepLog: true, Seed: p.seed + uint64(10*i+n)}
+			for m, other := range nodes {
+				if m != n {
+					l.Others = append(l.Others, other.addr)
+				}
+			}
+			p.loads[i] = append(p.loads[i], l)
+			running.Go(func() { l.Open(inner, times*p.capacity/float64(len(nodes)), 2000) })
+		}
+	}
+	sleepFor(ctx, 2*time.Second) // what servers do is learned
+	for i := range p.loads {
+		for _, l := range p.loads[i] {
+			l.CountFrom()
+		}
+	}
+	during(ctx)
+	cancel()
+	running.Wait()
+	for i := range p.loads {
+		for _, l := range p.loads[i] {
+			s := l.Sums()
+			t := &p.sums[i]
+			t.Orders, t.Asked, t.Got, t.Failed, t.RefusedTries = t.Orders+s.Orders, t.Asked+s.Asked, t.Got+s.Got, t.Failed+s.Failed, t.RefusedTries+s.RefusedTries
+		}
+	}
+}
+
+func (p *gatewayPlay) orders() (n int) {
+	for i := range p.loads {
+		for _, l := range p.loads[i] {
+			n += l.Sums().Orders
+		}
+	}
+	return n
+}
+
+// crossed counts executions in the other hall than the one that was asked.
+func (p *gatewayPlay) crossed() (n int) {
+	for i, h := range p.halls {
+		for _, x := range h.fleet.executions() {
+			if x.Ran && !strings.Contains(x.ID, h.name) && strings.Contains(x.ID, p.halls[1-i].name) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (p *gatewayPlay) evidence() standin.Evidence {
+	e := standin.Evidence{Classes: kampklip}
+	for i, h := range p.halls {
+		e.Executions = append(e.Executions, h.fleet.executions()...)
+		e.Told = append(e.Told, h.fleet.registry.Told()...)
+		for _, l := range p.loads[i] {
+			e.Answers = append(e.Answers, l.Log()...)
+		}
+	}
+	return e
+}
+
+// breakLink breaks the link to a hall in one of the ways, for a while, and gives it some time after.
+func breakLink(ctx context.Context, w *workshop, r *rand.Rand, far *hall, i int) (kind string) {
+	kinds := []string{"silent", "no-requests", "no-answers", "slow", "lossy", "one-path", "restart"}
+	kind = kinds[i%len(kinds)]
+	length := time.Duration(float64(50*time.Millisecond) * float64(int(1)<<r.IntN(6))) // up to 1.6 s
+	each := func(f func(*standin.Wire)) {
+		for _, wire := range far.wires {
+			f(wire)
+		}
+	}
+	switch kind {
+	case "silent":
+		each(func(w *standin.Wire) { w.Cut(true, true) })
+	case "no-requests":
+		each(func(w *standin.Wire) { w.Cut(true, false) })
+	case "no-answers":
+		each(func(w *standin.Wire) { w.Cut(false, true) })
+	case "slow":
+		each(func(w *standin.Wire) { w.Delay(700 * time.Millisecond) })
+	case "lossy":
+		each(func(w *standin.Wire) { w.Loss(300) })
+	case "one-path":
+		far.wires[r.IntN(len(far.wires))].Cut(true, true)
+	case "restart":
+		last := len(far.nodes) - 1
+		far.nodes[last].kill()
+		if err := far.start(ctx, w, last); err != nil {
+			return "restart-failed"
+		}
+	}
+	sleepFor(ctx, length)
+	each(func(w *standin.Wire) {
+		w.Cut(false, false)
+		w.Loss(0)
+		w.Delay(time.Millisecond)
+	})
+	sleepFor(ctx, time.Duration(200+r.IntN(600))*time.Millisecond)
+	return kind
+}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -35,10 +35,11 @@
 }
 
 var rigs = map[string]rig{
-	"demo":  {"a registry, three servers and a node on loopback, with a small load, until interrupted", demo},
-	"fleet": {"thousands of servers, replaced and flapping, beside twelve", fleetRig},
-	"scale": {"limits and path beside a plain proxy; steps, mixes, overload, a starved node", scale},
-	"rules": {"the four rules under drains, cold starts, silent servers and overload", rules},
+	"demo":    {"a registry, three servers and a node on loopback, with a small load, until interrupted", demo},
+	"gateway": {"two halls with two nodes each and a link that is cut in many ways, beside the same without a link", gatewayRig},
+	"fleet":   {"thousands of servers, replaced and flapping, beside twelve", fleetRig},
+	"scale":   {"limits and path beside a plain proxy; steps, mixes, overload, a starved node", scale},
+	"rules":   {"the four rules under drains, cold starts, silent servers and overload", rules},
 }
 
 // hidden are the parts of a rig that run as processes of their own.
--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -1,18 +1,25 @@
-// Command starlingvalve is a load-balancing proxy node.
+// Command starlingvalve is a load-balancing proxy node and gateway between sites.
 package main
 
 import (
 	"context"
 	"fmt"
+	"io"
+	stdlog "log"
 	"log/slog"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
 
 	"starlingvalve/internal/app"
+	"starlingvalve/internal/gateway"
 	"starlingvalve/internal/logqueue"
 )
 
@@ -24,7 +31,8 @@
 func main() {
 	// Nothing may wait for whoever reads the log: it is written under locks that every request takes.
 	log := logqueue.New(os.Stderr, 0, 0)
-	err := run(slog.New(slog.NewTextHandler(log, nil)))
+	stdlog.SetOutput(log) // libraries
+	err := command(log).Execute()
 	if err != nil {
 		fmt.Fprintln(log, "starlingvalve:", err)
 	}
@@ -34,12 +42,64 @@
 	}
 }
 
-func run(log *slog.Logger) error {
+func command(log io.Writer) *cobra.Command {
+	var file string
+	root := &cobra.Command{Use: "starlingvalve", Short: "A load-balancing proxy node and gateway between sites",
+		Long: "A load-balancing proxy node. GW_CONFIG names its configuration; GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file.",
+		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+		RunE: func(*cobra.Command, []string) error { return run(file, slog.New(slog.NewTextHandler(log, nil))) }}
+	root.Flags().StringVar(&file, "gateway", "", "hand work to other sites as this `FILE` says (see deploy/gateway.toml)")
+	root.AddCommand(
+		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway file, certificates included", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				g, err := gateway.Load(args[0], time.Now())
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: good: site %s, %d other sites\n", args[0], g.Identity.Site, len(g.Identity.Peers))
+				return nil
+			}},
+		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
+			fmt.Fprintln(c.OutOrStdout(), "starlingvalve", version())
+		}})
+	root.SetArgs(dashes(os.Args[1:]))
+	return root
+}
+
+// dashes lets long flags have one dash, as in -gateway FILE.
+func dashes(args []string) []string {
+	out := append([]string(nil), args...)
+	for i, a := range out {
+		if a == "--" {
+			break
+		}
+		if strings.HasPrefix(a, "-gateway") {
+			out[i] = "-" + a
+		}
+	}
+	return out
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v += " " + s.Value
+		}
+	}
+	return v + " " + info.GoVersion
+}
+
+func run(gatewayFile string, log *slog.Logger) error {
 	reload := make(chan os.Signal, 1) // first of all: a SIGHUP that nothing catches ends the process
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	c, err := app.LoadConfig(os.Getenv)
+	c, err := app.LoadConfig(os.Getenv, gatewayFile)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -616,8 +616,8 @@
 		return
 	}
 	s, mode := m.pick(r)
-	if r.foreign && mode != Normal {
-		s = nil
+	if r.foreign && !m.spare(s, mode) {
+		s, mode = nil, Blocking
 	}
 	// From H to R a server may hold more than it can serve soon, or may just be sent more than before: it is the
 	// delay that tells, and nothing is shed before that shows.
@@ -625,14 +625,36 @@
 		s = nil
 	}
 	if !m.send(r, s, r.deadline) {
+		if !r.foreign {
+			m.shortAt = m.now
+		}
 		m.finish(r, ByServers)
 	}
 }
 
+// spare tells whether a foreign request may go to a server: none of this site's own has been refused for a
+// validity, and the server is under L. So it displaces nothing.
+func (m *Module) spare(s *server, mode Mode) bool {
+	if mode != Normal || m.short() {
+		return false
+	}
+	return m.room(s) > 0
+}
+
+// room is how many requests more may be at a server for it to stay under L. An idle node that knows nothing
+// of its servers has room too: so much of it as harms none, whatever it turns out to be.
+func (m *Module) room(s *server) float64 {
+	n, h := m.crowd(s)
+	least := leastWindow / float64(m.set.Nodes)
+	return math.Max(0, math.Max(lowPart*h, least)-math.Max(n, s.n))
+}
+
+func (m *Module) short() bool { return m.shortAt > 0 && m.now-m.shortAt < validity }
+
 // Headroom is the number of requests more that this node may have at its servers while each stays normal
 // and under L: what other sites may be told of. It looks at a sample where there are many.
 func (m *Module) Headroom(now Time) float64 {
-	if m.now = max(m.now, now); !m.learned || m.ownMode != Normal || len(m.near) == 0 {
+	if m.now = max(m.now, now); m.ownMode != Normal || m.short() || len(m.near) == 0 {
 		return 0
 	}
 	looks := min(len(m.near), spareMost)
@@ -642,8 +664,7 @@
 		if s.suspect || s.cold || m.modeOf(s) != Normal {
 			continue
 		}
-		n, h := m.crowd(s)
-		spare += math.Max(0, lowPart*h-n)
+		spare += m.room(s)
 	}
 	return spare * float64(len(m.near)) / float64(looks)
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -70,7 +70,7 @@
 	attempts                       []attempt
 	first                          [1]attempt // where the usual single attempt is kept
 	out                            int
-	foreign                        bool
+	foreign                        bool // from another site
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
 }
 
@@ -84,6 +84,7 @@
 	set                Settings
 	rng                uint64
 	now, periodAt      Time
+	shortAt            Time // when an own request was last refused on its arrival for the servers' sake
 	out                []Action
 	classes            map[string]*class
 	order              []*class
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -55,7 +55,16 @@
 		messenger = p
 	}
 	transport := upstream.New(c.Settings, c.Limits.MemoryMB, room-clients, log)
-	loop, err := core.New(inner, core.Options{Settings: c.Settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, log),
+	var g *gate
+	if c.Gateway != nil {
+		var err error
+		if g, err = openGate(c, log); err != nil {
+			tcp.Close()
+			return err
+		}
+		defer g.close()
+	}
+	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: c.Settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, log),
 		Messenger: messenger, Log: log})
 	if err != nil {
 		tcp.Close()
@@ -73,7 +82,16 @@
 	}
 	served := make(chan error, 1)
 	running.Go(func() { served <- clientFront.Serve() })
-	running.Go(func() { follow(inner, c, loop, reload, log) })
+	if g != nil {
+		if err := g.take(c, loop); err != nil {
+			stop()
+			tcp.Close()
+			running.Wait()
+			return err
+		}
+		g.serve(&running)
+	}
+	running.Go(func() { follow(inner, c, loop, g, reload, log) })
 	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
 
 	select {
@@ -81,27 +99,30 @@
 		err = fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 		log.Info("draining")
-		clientFront.Drain(time.Now().Add(c.drainTime()))
+		end := time.Now().Add(c.drainTime())
+		if g != nil {
+			running.Go(func() { g.drain(end) })
+		}
+		clientFront.Drain(end)
 		log.Info("drained")
 	}
 	stop()
 	clientFront.Close()
+	if g != nil {
+		g.server.Close()
+	}
 	running.Wait()
 	return err
 }
 
 // drainTime is how long after SIGTERM the last answers have left: before the node may be killed.
 func (c *Config) drainTime() time.Duration {
-	longest := time.Duration(0)
-	for _, class := range c.Settings.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	return min(longest, drainLongest) + killAfter - killMargin
+	return min(longestDeadline(c.Settings), drainLongest) + killAfter - killMargin
 }
 
 // follow reads the configuration again whenever it is told to, until ctx ends. A bad one changes nothing; of a good
 // one discovery's address takes effect, what else is new in it at the next start.
-func follow(ctx context.Context, c *Config, loop *core.Loop, asked <-chan os.Signal, log *slog.Logger) {
+func follow(ctx context.Context, c *Config, loop *core.Loop, g *gate, asked <-chan os.Signal, log *slog.Logger) {
 	at := c.Discovery
 	for {
 		select {
@@ -114,6 +135,9 @@
 			log.Error("configuration not taken", "err", err)
 			continue
 		}
+		if g != nil && next.Gateway != nil {
+			g.reload(next.Gateway)
+		}
 		if next.Discovery != at {
 			at = next.Discovery
 			log.Info("discovery moves", "to", at)
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -8,9 +8,11 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
+	"starlingvalve/internal/gateway"
 	"starlingvalve/internal/member/registry"
 	"starlingvalve/internal/wire"
 )
@@ -34,6 +36,7 @@
 	Peers    []netip.AddrPort
 	Known    core.List // the backends as this node last had them
 	Settings decide.Settings
+	Gateway  *gateway.Config // nil: nothing crosses
 
 	reread func() (*Config, error)
 }
@@ -46,14 +49,22 @@
 	usualMemoryMB = 192
 )
 
-// LoadConfig reads the file that GW_CONFIG names. The other GW_ variables go before what it says.
-func LoadConfig(getenv func(string) string) (*Config, error) {
-	c, err := readConfig(getenv)
+// LoadConfig reads the file that GW_CONFIG names. The other GW_ variables go before what it says. gatewayFile, if it is
+// not empty, says how the node hands work to other sites.
+func LoadConfig(getenv func(string) string, gatewayFile string) (*Config, error) {
+	read := func(getenv func(string) string) (*Config, error) {
+		c, err := readConfig(getenv)
+		if err == nil && gatewayFile != "" {
+			c.Gateway, err = gateway.Load(gatewayFile, time.Now())
+		}
+		return c, err
+	}
+	c, err := read(getenv)
 	if err != nil {
 		return nil, err
 	}
 	c.reread = func() (*Config, error) {
-		return readConfig(func(name string) string {
+		return read(func(name string) string {
 			if name == "GW_DISCOVERY" { // it still has the address of the start: what is new is in the file
 				return ""
 			}
--- a/internal/app/config_test.go
+++ b/internal/app/config_test.go
@@ -22,7 +22,7 @@
 				return path
 			}
 			return more[name]
-		})
+		}, "")
 	}
 	c, err := load(good, map[string]string{"GW_LISTEN": "127.0.0.1:99"})
 	if err != nil || c.Listen.Port() != 99 || c.Known.Version != 4 || c.Settings.Nodes != 3 || uint64(c.Seed) != 0x8c1f30d27a5be964 {
@@ -41,7 +41,7 @@
 	if c, err = c.reread(); err != nil || c.Discovery.Port() != 81 {
 		t.Errorf("read again: %+v, %v; the file has what is new", c, err)
 	}
-	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
+	if _, err := LoadConfig(func(string) string { return "" }, ""); err == nil {
 		t.Error("no GW_CONFIG is no error")
 	}
 }
--- /dev/null
+++ b/internal/app/gateway_test.go
@@ -0,0 +1,92 @@
+package app
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/gateway"
+	"starlingvalve/internal/link"
+	"starlingvalve/internal/standin"
+	"starlingvalve/internal/testkit"
+)
+
+// gatewayPair is the configuration of two sites that know each other; nothing listens yet.
+func gatewayPair(t *testing.T) (a, b *gateway.Config) {
+	t.Helper()
+	var certs [2]tls.Certificate
+	var auth [2]*standin.Authority
+	var at [2]netip.AddrPort
+	names := [2]string{"hall-a.example.org", "hall-b.example.org"}
+	for i := range 2 {
+		var err error
+		if auth[i], err = standin.NewAuthority(); err != nil {
+			t.Fatal(err)
+		}
+		if certs[i], _, _, err = auth[i].Issue(names[i], time.Now().Add(time.Hour)); err != nil {
+			t.Fatal(err)
+		}
+		udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		at[i] = udp.LocalAddr().(*net.UDPAddr).AddrPort()
+		udp.Close()
+	}
+	var out [2]*gateway.Config
+	for i := range 2 {
+		other := 1 - i
+		out[i] = &gateway.Config{Listen: at[i], Out: 16, In: 16, Entries: 100, Bytes: 1 << 20, SpareShare: 1, Identity: &link.Identity{Site: names[i], Certificate: certs[i],
+			Peers: []link.Peer{{Name: names[other], Roots: auth[other].Roots(), Addresses: []string{at[other].String()}}}}}
+	}
+	return out[0], out[1]
+}
+
+// A hall with no servers has another serve what may cross; a keyed request stays, and is refused. Once the other site is
+// removed by SIGHUP, nothing crosses any more.
+func TestTwoSites(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int64
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { runs.Add(1); return testkit.OK("from b") }))
+	fileA, fileB := gatewayPair(t)
+	start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr), Gateway: fileB})
+	ca := &Config{Settings: testkit.Settings(), Gateway: fileA}
+	gone := *fileA
+	identity := *fileA.Identity
+	identity.Peers = nil
+	gone.Identity = &identity
+	ca.reread = func() (*Config, error) { return &Config{Discovery: ca.Discovery, Gateway: &gone}, nil }
+	a := start(t, ca)
+	until := func(class string, status int) (body string) {
+		t.Helper()
+		for end := time.Now().Add(testkit.Patient); ; time.Sleep(10 * time.Millisecond) {
+			resp, text := a.ask(t, message(class, "9.5", ""))
+			if resp.StatusCode == status {
+				return text
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: status %d, want %d", class, resp.StatusCode, status)
+			}
+		}
+	}
+	if got := until("read", 200); got != "from b" {
+		t.Errorf("%q", got)
+	}
+	until("order", 200)
+	before := runs.Load()
+	if resp, _ := a.ask(t, message("tag", "9.5", "")); resp.StatusCode != 503 || runs.Load() != before {
+		t.Errorf("keyed: status %d, %d runs", resp.StatusCode, runs.Load()-before)
+	}
+	a.hup <- syscall.SIGHUP
+	until("read", 503)
+	until("order", 503)
+	a.stop()
+	if err := <-a.ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -64,6 +64,14 @@
 // Drain has the node called not ready, and each request answered by end.
 func (f *Handler) Drain(end time.Time) { f.drainEnd.Store(&end) }
 
+// Longest is the longest deadline of any class.
+func (f *Handler) Longest() (longest time.Duration) {
+	for _, c := range f.classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 // LastCall has no more requests taken.
 func (f *Handler) LastCall() { f.closing.Store(true) }
 
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -23,7 +23,7 @@
 	drainAccept = 600 * time.Millisecond
 	lastCall    = 300 * time.Millisecond // before the end no more requests are taken
 	drainLook   = 20 * time.Millisecond
-	drainSlack  = time.Second // after the end, for answers that are being written
+	drainSlack  = 700 * time.Millisecond // beyond the longest deadline: what was taken before the drain may end so late
 )
 
 // Front is a core.Front on one listener.
@@ -64,7 +64,7 @@
 		time.Sleep(drainLook)
 	}
 	f.handler.LastCall()
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(drainSlack))
+	ctx, cancel := context.WithTimeout(context.Background(), f.handler.Longest()+drainSlack)
 	defer cancel()
 	if err := f.server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		f.log.Warn("drained with requests held", "err", err)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -175,3 +176,23 @@
 		}
 	}
 }
+
+// BenchmarkFull tells the memory of a full ledger, without the answers.
+func BenchmarkFull(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		l := New(Limits{})
+		s := l.Attach(0, "a", 1)
+		for n := uint64(1); n <= 10_000; n++ {
+			s.Take(0, n, time.Minute)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		if entries, _, _ := l.Size(); entries != 10_000 {
+			b.Fatal(entries)
+		}
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/10_000, "bytes/entry")
+}
--- /dev/null
+++ b/internal/link/frame_test.go
@@ -0,0 +1,51 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"testing"
+)
+
+func TestFrames(t *testing.T) {
+	whole := appendFrame(nil, typeHandoff, []uint64{7, 1 << 40}, []byte("rest"))
+	typ, f, rest, err := readFrame(bufio.NewReader(bytes.NewReader(whole)), requestLimit, 2, typeHandoff, typeAsk)
+	if err != nil || typ != typeHandoff || f[0] != 7 || f[1] != 1<<40 || string(rest) != "rest" {
+		t.Errorf("%d %v %q %v", typ, f, rest, err)
+	}
+	for i := range whole {
+		if _, _, _, err := readFrame(bufio.NewReader(bytes.NewReader(whole[:i])), requestLimit, 2, typeHandoff); err == nil {
+			t.Errorf("cut after %d bytes, it is taken", i)
+		}
+	}
+	for name, raw := range map[string][]byte{
+		"out of order": appendFrame(nil, typeBeat, []uint64{1, 2}, nil),
+		"too large":    appendFrame(nil, typeHandoff, []uint64{1, 2}, make([]byte, requestLimit)),
+		"too short":    appendFrame(nil, typeAsk, []uint64{1}, nil),
+		"too long":     appendFrame(nil, typeAsk, []uint64{1, 2, 3}, nil),
+	} {
+		if _, _, _, err := readFrame(bufio.NewReader(bytes.NewReader(raw)), requestLimit, 2, typeHandoff, typeAsk); !errors.Is(err, errFrame) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add(appendFrame(nil, typeHandoff, []uint64{7, 8, 9}, []byte("GET / HTTP/1.1\r\n\r\n")), uint8(2))
+	f.Add([]byte{0xff, 0xff, 0xff}, uint8(3))
+	f.Fuzz(func(t *testing.T, raw []byte, fields uint8) {
+		n := int(fields % 4)
+		typ, values, rest, err := readFrame(bufio.NewReader(bytes.NewReader(raw)), 1<<12, n, typeHandoff, typeAnswer, typeAsk, typeHello)
+		if err != nil {
+			return
+		}
+		if len(values) != n || len(rest) > 1<<12 {
+			t.Fatalf("%d values, %d bytes", len(values), len(rest))
+		}
+		again := appendFrame(nil, typ, values, rest)
+		typ2, values2, rest2, err := readFrame(bufio.NewReader(bytes.NewReader(again)), 1<<12, n, typ)
+		if err != nil && len(again) <= len(raw) || err == nil && (typ2 != typ || len(values2) != n || !bytes.Equal(rest, rest2)) {
+			t.Errorf("%x becomes %x: %v", raw, again, err)
+		}
+	})
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -23,8 +23,8 @@
 
 // sites are a near and a far one, with a wire between.
 type sites struct {
-	t          *testing.T
-	a, b       *testkit.Authority
+	t          testing.TB
+	a, b       *standin.Authority
 	near, far  *Keeper
 	server     *Server
 	wire       *standin.Wire
@@ -34,7 +34,7 @@
 	serverDone chan error
 }
 
-func newSites(t *testing.T) *sites {
+func newSites(t testing.TB) *sites {
 	t.Helper()
 	s := &sites{t: t}
 	var err error
@@ -44,9 +44,9 @@
 			t.Fatal(err)
 		}
 	}
-	s.a, err = testkit.NewAuthority()
+	s.a, err = standin.NewAuthority()
 	must(err)
-	s.b, err = testkit.NewAuthority()
+	s.b, err = standin.NewAuthority()
 	must(err)
 	later := time.Now().Add(time.Hour)
 	certA, _, _, err := s.a.Issue("hall-a.example.org", later)
@@ -322,3 +322,36 @@
 		d.Close()
 	}
 }
+
+// BenchmarkHandoff is one hand-off after the other, with its answer; and 64 at a time.
+func BenchmarkHandoff(b *testing.B) {
+	for _, at := range []int{1, 64} {
+		b.Run(fmt.Sprint(at), func(b *testing.B) {
+			s := newSites(b)
+			s.offer(request("order", testkit.Patient), decide.Unsafe).Cross(b.Context())
+			var work sync.WaitGroup
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range at {
+				work.Go(func() {
+					for left.Add(-1) >= 0 {
+						for {
+							c := s.dialer.Offer(request("order", testkit.Patient), decide.Unsafe, false)
+							if c == nil {
+								time.Sleep(100 * time.Microsecond)
+								continue
+							}
+							if _, how := c.Cross(b.Context()); how != core.CrossedServed {
+								b.Error(how)
+							}
+							break
+						}
+					}
+				})
+			}
+			work.Wait()
+		})
+	}
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -144,8 +144,11 @@
 	}
 }
 
-// Close ends all connections, and Serve.
+// Close ends all connections, and Serve. Further calls do nothing.
 func (s *Server) Close() {
+	if s.ctx.Err() != nil {
+		return
+	}
 	s.cancel()
 	s.listener.Close()
 	s.tr.Close()
@@ -252,7 +255,8 @@
 	defer s.mu.Unlock()
 	session.Ack(ack)
 	spare = min(spare, s.o.Handoffs-s.running)
-	return session.Running() + spare/max(1, len(s.callers))
+	callers := max(1, len(s.callers))
+	return session.Running() + (spare+callers-1)/callers // rounded up: who has little to spare still tells everybody of it
 }
 
 // exchange serves one stream.
--- a/internal/testkit/cert.go
+++ b/internal/standin/authority.go
@@ -1,4 +1,4 @@
-package testkit
+package standin
 
 import (
 	"crypto/ecdsa"
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -158,10 +158,11 @@
 type Load struct {
 	Addr    string
 	Classes []Class
-	Retries int    // further tries after a refusal or a break, within the patience
-	Prefix  string // of orders and ids, so that several loads do not meet
-	KeepLog bool   // keep each answer; else only the sums
-	Seed    uint64 // of what is drawn: classes, and when orders come
+	Retries int      // further tries after a refusal or a break, within the patience
+	Prefix  string   // of orders and ids, so that several loads do not meet
+	KeepLog bool     // keep each answer; else only the sums
+	Seed    uint64   // of what is drawn: classes, and when orders come
+	Others  []string // further nodes of the hall: a client's further tries go there, by turns
 	// Crossing is how late the close of a kept connection may be to have crossed a request; 0: 20 ms.
 	Crossing time.Duration
 
@@ -238,6 +239,11 @@
 	var resent time.Time // by its first sending, a close crossed the try
 	for try := 0; ; try++ {
 		a = Answer{Order: name, ID: fmt.Sprintf("%s.%d", name, try), Class: class.Name, Key: key, Try: try, Deadline: deadline, Sent: time.Now(), Resent: resent}
+		conn, give := conn, give
+		if try > 0 && len(l.Others) > 0 {
+			conn = func() (*clientConn, error) { return dialNode(l.Others[(try-1)%len(l.Others)], 2*time.Second) }
+			give = func(c *clientConn, _ bool) { c.Close() }
+		}
 		c, err := conn()
 		if err != nil {
 			a.At, a.Fault = time.Now(), "no connection: "+err.Error()
