Rig gateway: what the hop costs, far nodes that are killed or told to end, keyed requests stay

Need: kills met no hand-off in flight, as the far node that may die took none; a node without clients that was told to end dropped the hand-offs that it ran; the cost of the hop was not known.

Change: before a kill or SIGTERM all that crosses is led to that node; the end waits for the link's own drain; the hop is measured beside being asked at the far site; the demo has two halls and a link that is cut for 5 s in 20.

--- a/cmd/rig/demo.go
+++ b/cmd/rig/demo.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// forget empties the servers' logs.
+func (f *fleet) forget() {
+	for _, s := range f.servers {
+		s.SetLog(false)
+		s.SetLog(true)
+	}
+}
+
 func (f *fleet) executions() (all []standin.Execution) {
 	for _, s := range f.servers {
 		all = append(all, s.Log()...)
@@ -84,30 +92,29 @@
 	return all
 }
 
-// demo shows a node at work until it is interrupted.
+// demo shows two halls at work until it is interrupted: the first is asked for a little more than it can do, and hands
+// work to the second while the link between them is up.
 func demo(ctx context.Context, o *options, args []string) error {
 	w, err := newWorkshop(ctx, "")
 	if err != nil {
 		return err
 	}
 	defer w.Close()
-	f, err := newFleet(3, 4, 40, kampklipWork(1))
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	f.setLog(false)
-	n, err := w.node(ctx, w.binary, nodeOptions{name: "demo", registry: f.registry.Addr, classes: kampklip, memoryMB: 192, sockets: 1024, zone: "hall-a"})
+	halls, err := openHalls(ctx, w, true, [2]int{2, 3}, 1)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("a registry on %s, three servers, and a node on %s. Ask it:\n\n", f.registry.Addr, n.addr)
+	defer closeHalls(halls)
+	n := halls[0].nodes[0]
+	fmt.Printf("hall-a: two servers, nodes on %s and %s; hall-b: three servers, nodes on %s and %s. Ask one:\n\n",
+		n.addr, halls[0].nodes[1].addr, halls[1].nodes[0].addr, halls[1].nodes[1].addr)
 	fmt.Printf("  curl -i -H 'X-Correlation-Id: hello-1' -H 'X-Time-Left: 2.0' 'http://%s/viewer-clip?obj=match-1'\n\n", n.addr)
-	load := &standin.Load{Addr: n.addr, Classes: kampklip, Retries: 2, Prefix: "demo-"}
+	load := &standin.Load{Addr: n.addr, Others: []string{halls[0].nodes[1].addr}, Classes: kampklip, Retries: 2, Prefix: "demo-hall-a-"}
 	running := make(chan struct{})
-	go func() { defer close(running); load.Open(ctx, 60, 200) }()
+	go func() { defer close(running); load.Open(ctx, demoLoad, 400) }()
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
+	before, seconds := 0, 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -117,11 +124,33 @@
 		case <-n.ended:
 			return fmt.Errorf("the node ended: %v\n%s", n.err, n.log.String())
 		case <-tick.C:
-			s := load.Sums()
-			load.CountFrom()
-			fmt.Printf("%s  %3d asked, %3d served, %3d in time, %d refused, %d failed; worth kept %.3f; held by servers: %d %d %d\n",
-				time.Now().Format(time.TimeOnly), s.Orders, s.Served, s.InAim, s.Refused, s.Failed, s.Worth(),
-				f.servers[0].Held(), f.servers[1].Held(), f.servers[2].Held())
+		}
+		state := "up"
+		if seconds++; seconds%demoRound >= demoRound-demoCut {
+			state = "cut"
+		}
+		for _, h := range halls {
+			for _, wire := range h.wires {
+				wire.Cut(state == "cut", state == "cut")
+			}
+		}
+		abroad := ranAbroad(halls, 1)
+		s := load.Sums()
+		load.CountFrom()
+		fmt.Printf("%s  link %-3s  %3d asked at hall-a, %3d served (%2d of them ran in hall-b), %3d in time, %d tries refused, %d failed; worth kept %.3f\n",
+			time.Now().Format(time.TimeOnly), state, s.Orders, s.Served, abroad-before, s.InAim, s.RefusedTries, s.Failed, s.Worth())
+		if before = abroad; abroad > demoForget {
+			before = 0
+			for _, h := range halls {
+				h.fleet.forget()
+			}
 		}
 	}
 }
+
+const (
+	demoLoad   = 120 // orders a second; hall-a's two cores do some 97
+	demoRound  = 20  // seconds, of which the link is cut
+	demoCut    = 5
+	demoForget = 10_000 // executions; then the stand-ins' logs begin anew, so that a demo may run for days
+)
--- a/cmd/rig/gateway.go
+++ b/cmd/rig/gateway.go
@@ -27,6 +27,8 @@
 	mostHarm    = 0.02
 )
 
+var evenHalls = [2]int{hallServers, hallServers}
+
 // hall is one site: servers, a registry and nodes, and a wire to the link port of each node.
 type hall struct {
 	name  string
@@ -63,12 +65,15 @@
 	defer w.Close()
 	calm := 15 * time.Second
 	if o.quick {
-		cuts, requests, calm = 8, 3000, 5*time.Second
+		cuts, requests, calm = 9, 3000, 5*time.Second
+	}
+	if err := o.hop(ctx, w); err != nil {
+		return fmt.Errorf("hop: %w", err)
 	}
 	capacity := hallServers * hallCores / meanWork()
 	var worth [2][2]float64 // by link off or on, by hall
 	for on := range 2 {
-		halls, err := openHalls(ctx, w, on == 1)
+		halls, err := openHalls(ctx, w, on == 1, evenHalls, hallCores)
 		if err != nil {
 			return err
 		}
@@ -91,7 +96,7 @@
 	o.out.promise(gain >= leastGain, "calm: worth at least %.1f times that without the link", leastGain)
 	o.out.promise(worth[1][1] >= worth[0][1]-mostHarm, "calm: the other hall's own worth falls by %.2f at most: %.3f, %.3f without", mostHarm, worth[1][1], worth[0][1])
 
-	halls, err := openHalls(ctx, w, true)
+	halls, err := openHalls(ctx, w, true, evenHalls, hallCores)
 	if err != nil {
 		return err
 	}
@@ -130,6 +135,7 @@
 		o.out.figure("gateway.cuts.tries."+name, statuses[name], "tries that ended so")
 	}
 	o.out.promise(p.crossed() > 0, "cuts: work crosses")
+	o.out.promise(p.keysAbroad() == 0, "cuts: no keyed request crosses, whichever node its client asks next: %d did", p.keysAbroad())
 	o.out.promise(total >= cuts && p.orders() >= requests, "cuts: %d orders and %d cuts at least", requests, cuts)
 	for _, h := range halls {
 		for i, n := range h.nodes {
@@ -160,16 +166,16 @@
 }
 
 // openHalls starts two halls; with link, each has the other as its peer, over wires.
-func openHalls(ctx context.Context, w *workshop, link bool) (halls []*hall, err error) {
+func openHalls(ctx context.Context, w *workshop, link bool, servers [2]int, cores int) (halls []*hall, err error) {
 	defer func() {
 		if err != nil {
 			closeHalls(halls)
 		}
 	}()
-	for _, name := range []string{"hall-a", "hall-b"} {
+	for i, name := range []string{"hall-a", "hall-b"} {
 		h := &hall{name: name}
 		halls = append(halls, h)
-		if h.fleet, err = newFleet(hallServers, hallCores, 60, kampklipWork(1)); err != nil {
+		if h.fleet, err = newFleet(servers[i], cores, 60, kampklipWork(1)); err != nil {
 			return halls, err
 		}
 		if h.auth, err = standin.NewAuthority(); err != nil {
@@ -312,9 +318,17 @@
 
 // crossed counts executions in the other hall than the one that was asked.
 func (p *gatewayPlay) crossed() (n int) {
+	for i := range p.halls {
+		n += ranAbroad(p.halls, i)
+	}
+	return n
+}
+
+// keysAbroad counts keyed requests that came to a server of the other hall.
+func (p *gatewayPlay) keysAbroad() (n int) {
 	for i, h := range p.halls {
 		for _, x := range h.fleet.executions() {
-			if x.Ran && !strings.Contains(x.ID, h.name) && strings.Contains(x.ID, p.halls[1-i].name) {
+			if x.Key != "" && strings.Contains(x.ID, p.halls[1-i].name) {
 				n++
 			}
 		}
@@ -322,6 +336,16 @@
 	return n
 }
 
+// ranAbroad counts what servers of a hall ran for clients of the other.
+func ranAbroad(halls []*hall, i int) (n int) {
+	for _, x := range halls[i].fleet.executions() {
+		if x.Ran && strings.Contains(x.ID, halls[1-i].name) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *gatewayPlay) evidence() standin.Evidence {
 	e := standin.Evidence{Classes: kampklip}
 	for i, h := range p.halls {
@@ -336,7 +360,7 @@
 
 // breakLink breaks the link to a hall in one of the ways, for a while, and gives it some time after.
 func breakLink(ctx context.Context, w *workshop, r *rand.Rand, far *hall, i int) (kind string) {
-	kinds := []string{"silent", "no-requests", "no-answers", "slow", "lossy", "one-path", "restart"}
+	kinds := []string{"silent", "no-requests", "no-answers", "slow", "lossy", "one-path", "killed", "terminated"}
 	kind = kinds[i%len(kinds)]
 	length := time.Duration(float64(50*time.Millisecond) * float64(int(1)<<r.IntN(6))) // up to 1.6 s
 	each := func(f func(*standin.Wire)) {
@@ -357,11 +381,18 @@
 		each(func(w *standin.Wire) { w.Loss(300) })
 	case "one-path":
 		far.wires[r.IntN(len(far.wires))].Cut(true, true)
-	case "restart":
+	case "killed", "terminated":
+		// For a while all that crosses goes to the node that is to end, so that it has some.
 		last := len(far.nodes) - 1
-		far.nodes[last].kill()
+		far.wires[0].Cut(true, true)
+		sleepFor(ctx, 1500*time.Millisecond)
+		if kind == "killed" {
+			far.nodes[last].kill()
+		} else {
+			far.nodes[last].stop()
+		}
 		if err := far.start(ctx, w, last); err != nil {
-			return "restart-failed"
+			return kind + "-failed"
 		}
 	}
 	sleepFor(ctx, length)
@@ -373,3 +404,108 @@
 	sleepFor(ctx, time.Duration(200+r.IntN(600))*time.Millisecond)
 	return kind
 }
+
+// hop measures what crossing costs: the first hall's only server is gone, so that all it is asked for crosses.
+func (o *options) hop(ctx context.Context, w *workshop) error {
+	halls, err := openHalls(ctx, w, true, [2]int{1, hallServers}, 64)
+	if err != nil {
+		return err
+	}
+	defer closeHalls(halls)
+	work := map[string]standin.Work{scaleClass.Name: {Time: time.Millisecond, Bytes: answerBytes}}
+	halls[1].fleet.setWork(work)
+	halls[0].fleet.servers[0].Close()
+	length := 4 * time.Second
+	if o.quick {
+		length = time.Second
+	}
+	play := func(n *node, conns int) standin.Sums {
+		ctx, cancel := context.WithTimeout(ctx, length+2*time.Second)
+		defer cancel()
+		l := &standin.Load{Addr: n.addr, Classes: []standin.Class{scaleClass}, Retries: 2, Prefix: fmt.Sprintf("hop%d-%s-", conns, n.addr), Seed: o.seed}
+		time.AfterFunc(2*time.Second, l.CountFrom)
+		l.Closed(ctx, conns, 100*time.Millisecond)
+		return l.Sums()
+	}
+	for _, wire := range halls[1].wires {
+		wire.Delay(0)
+	}
+	trip, err := roundTrip()
+	if err != nil {
+		return err
+	}
+	o.out.figure("gateway.hop.wire", float64(trip)/1e6, "ms, the round trip of a datagram through the stand-in for the link, median")
+	here, abroad := play(halls[1].nodes[0], 1), play(halls[0].nodes[0], 1)
+	for _, q := range []float64{0.5, 0.99} {
+		added := quantile(abroad.Times, q) - quantile(here.Times, q) - trip
+		o.out.figure(fmt.Sprintf("gateway.hop.added.p%.0f", 100*q), float64(added)/1e6, "ms over being asked there and the wire's round trip")
+	}
+	o.out.figure("gateway.hop.served", fmt.Sprintf("%d of %d", abroad.Served, abroad.Orders), "orders, one connection")
+	carried := func() (datagrams, bytes int64) {
+		for _, wire := range halls[1].wires {
+			d, b := wire.Carried()
+			datagrams, bytes = datagrams+d, bytes+b
+		}
+		return datagrams, bytes
+	}
+	d0, b0 := carried()
+	cpu0, ran0 := halls[0].nodes[0].cpu(), ranInSecond(halls)
+	s := play(halls[0].nodes[0], 64)
+	d1, b1 := carried()
+	ran := ranInSecond(halls) - ran0
+	if ran > 0 {
+		o.out.figure("gateway.hop.rate", float64(s.Served)/length.Seconds(), "requests/s over 64 connections")
+		o.out.figure("gateway.hop.cpu", float64(halls[0].nodes[0].cpu()-cpu0)/float64(ran)/1e3, "us of the near node's core a hand-off")
+		o.out.figure("gateway.hop.bytes", (b1-b0)/int64(ran), "bytes a hand-off, both ways, with an answer of 2 KiB")
+		o.out.figure("gateway.hop.datagrams", float64(d1-d0)/float64(ran), "datagrams a hand-off, both ways")
+	}
+	o.out.promise(abroad.Served > 0 && ran > 0, "hop: requests cross")
+	return nil
+}
+
+// ranInSecond counts executions in the second hall, whoever asked.
+func ranInSecond(halls []*hall) (n int) { return len(halls[1].fleet.executions()) }
+
+// roundTrip is the median time that a datagram takes through a wire to an echo and back.
+func roundTrip() (time.Duration, error) {
+	echo, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer echo.Close()
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, from, err := echo.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			echo.WriteTo(buf[:n], from)
+		}
+	}()
+	wire, err := standin.NewWire(echo.LocalAddr().String())
+	if err != nil {
+		return 0, err
+	}
+	defer wire.Close()
+	c, err := net.Dial("udp", wire.Addr)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	var times []time.Duration
+	buf := make([]byte, 1200)
+	for range 200 {
+		began := time.Now()
+		c.SetDeadline(began.Add(time.Second))
+		if _, err := c.Write(buf); err != nil {
+			return 0, err
+		}
+		if _, err := c.Read(buf); err != nil {
+			return 0, err
+		}
+		times = append(times, time.Since(began))
+		time.Sleep(time.Millisecond)
+	}
+	return quantile(times, 0.5), nil
+}
--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -46,6 +46,29 @@
 	}
 }
 
+// A gateway file is checked by `check`, and before the start, by the same words.
+func TestBadGatewayFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "gateway.toml")
+	if err := os.WriteFile(file, []byte("[site]\nnmae = \"hall-a\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, args := range [][]string{{"check", file}, {"-gateway", file}, {"--gateway=" + file}} {
+		cmd, log := program(t, `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{
+			"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`)
+		cmd.Args = append(cmd.Args, args...)
+		cmd.Run()
+		if code := cmd.ProcessState.ExitCode(); code != 1 || strings.Count(log.String(), "\n") != 1 || !strings.Contains(log.String(), file+":2: site.nmae: unknown key") {
+			t.Errorf("%q: exit code %d, log %q", args, code, log)
+		}
+	}
+	cmd, _ := program(t, "")
+	cmd.Args = append(cmd.Args, "version")
+	cmd.Stderr = nil
+	if out, err := cmd.Output(); err != nil || !strings.HasPrefix(string(out), "starlingvalve ") {
+		t.Errorf("version: %q, %v", out, err)
+	}
+}
+
 func TestStartAndTerminate(t *testing.T) {
 	discovery, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -100,10 +100,12 @@
 	case <-ctx.Done():
 		log.Info("draining")
 		end := time.Now().Add(c.drainTime())
+		var draining sync.WaitGroup
 		if g != nil {
-			running.Go(func() { g.drain(end) })
+			draining.Go(func() { g.drain(end) })
 		}
 		clientFront.Drain(end)
+		draining.Wait() // a node without clients may still serve another site's
 		log.Info("drained")
 	}
 	stop()
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -19,6 +19,8 @@
 	loss   atomic.Int64 // of 1,000 datagrams
 	toFar  atomic.Bool  // cut
 	toNear atomic.Bool
+	bytes  atomic.Int64 // carried, both ways
+	count  atomic.Int64 // datagrams carried
 	work   sync.WaitGroup
 	done   chan struct{}
 
@@ -59,6 +61,9 @@
 	w.toNear.Store(toNear)
 }
 
+// Carried gives the datagrams and their bytes so far, both ways, without IP and UDP headers.
+func (w *Wire) Carried() (datagrams, bytes int64) { return w.count.Load(), w.bytes.Load() }
+
 // Close ends it.
 func (w *Wire) Close() {
 	w.mu.Lock()
@@ -121,6 +126,8 @@
 	if cut.Load() || rand.Int64N(1000) < w.loss.Load() {
 		return
 	}
+	w.bytes.Add(int64(len(p)))
+	w.count.Add(1)
 	d := time.Duration(w.delay.Load())
 	if d == 0 {
 		send(p)
