Link tests: cut at every moment in either direction, malformed frames from a known site

Need: the rig meets the moments of a cut by chance only.

Change: standin.Wire cuts itself after so many datagrams; 30 cases (before, within the request, running, within the answer, after it; to the far side, to the near, both; coming back or not) and peers that send noise, frames out of order, oversized, or ask for another's number.

--- a/cmd/rig/gateway.go
+++ b/cmd/rig/gateway.go
@@ -71,7 +71,7 @@
 		return fmt.Errorf("hop: %w", err)
 	}
 	capacity := hallServers * hallCores / meanWork()
-	var worth [2][2]float64 // by link off or on, by hall
+	var worth, inTime [2][2]float64 // by link off or on, by hall
 	for on := range 2 {
 		halls, err := openHalls(ctx, w, on == 1, evenHalls, hallCores)
 		if err != nil {
@@ -80,7 +80,7 @@
 		p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed}
 		p.run(ctx, fmt.Sprintf("calm%d", on), func(ctx context.Context) { sleepFor(ctx, calm) })
 		for i := range halls {
-			worth[on][i] = p.sums[i].Worth()
+			worth[on][i], inTime[on][i] = p.sums[i].Worth(), float64(p.sums[i].InAim)/float64(max(1, p.sums[i].Orders))
 			o.out.figure(fmt.Sprintf("gateway.calm.link=%v.%s.worth", on == 1, halls[i].name), worth[on][i], "of what was asked")
 			o.out.figure(fmt.Sprintf("gateway.calm.link=%v.%s.refused", on == 1, halls[i].name), p.sums[i].RefusedTries, "tries")
 		}
@@ -93,6 +93,8 @@
 	}
 	gain := worth[1][0] / max(worth[0][0], 1e-9)
 	o.out.figure("gateway.calm.gain", gain, "times the worth without the link, at the short hall")
+	o.out.figure("gateway.calm.gain.most", 1/max(worth[0][0], 1e-9), "times, if all were answered in time")
+	o.out.figure("gateway.calm.gain.orders", inTime[1][0]/max(inTime[0][0], 1e-9), "times the orders answered in time")
 	o.out.promise(gain >= leastGain, "calm: worth at least %.1f times that without the link", leastGain)
 	o.out.promise(worth[1][1] >= worth[0][1]-mostHarm, "calm: the other hall's own worth falls by %.2f at most: %.3f, %.3f without", mostHarm, worth[1][1], worth[0][1])
 
@@ -302,7 +304,7 @@
 		for _, l := range p.loads[i] {
 			s := l.Sums()
 			t := &p.sums[i]
-			t.Orders, t.Asked, t.Got, t.Failed, t.RefusedTries = t.Orders+s.Orders, t.Asked+s.Asked, t.Got+s.Got, t.Failed+s.Failed, t.RefusedTries+s.RefusedTries
+			t.Orders, t.InAim, t.Asked, t.Got, t.Failed, t.RefusedTries = t.Orders+s.Orders, t.InAim+s.InAim, t.Asked+s.Asked, t.Got+s.Got, t.Failed+s.Failed, t.RefusedTries+s.RefusedTries
 		}
 	}
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/ledger"
@@ -236,6 +239,137 @@
 	}
 }
 
+// The link breaks at every moment of a hand-off whose request and answer take many datagrams, in either direction or both, and
+// comes back in time or not. It runs once at most, "never" means never, and an end comes within the client's time.
+func TestCutAtEveryMoment(t *testing.T) {
+	t.Parallel()
+	answer := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 100<<10, strings.Repeat("x", 100<<10)))
+	for _, way := range []struct {
+		name          string
+		toFar, toNear bool
+	}{{"both", true, true}, {"to far", true, false}, {"to near", false, true}} {
+		for _, moment := range []string{"before", "within the request", "running", "within the answer", "after the answer"} {
+			for _, back := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/back=%v", way.name, moment, back), func(t *testing.T) {
+					t.Parallel()
+					s := newSites(t)
+					cut := func(after int) {
+						s.wire.CutAfter(after, way.toFar, way.toNear)
+						if back {
+							time.AfterFunc(300*time.Millisecond, func() { s.wire.CutAfter(-1<<32, false, false); s.wire.Cut(false, false) })
+						}
+					}
+					s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+						switch moment {
+						case "running":
+							cut(0)
+							time.Sleep(50 * time.Millisecond)
+						case "within the answer":
+							cut(20)
+						case "after the answer":
+							cut(120)
+						}
+						return ledger.Done, answer
+					})
+					left := 4 * time.Second
+					if !back {
+						left = 1500 * time.Millisecond
+					}
+					r := request("order", left)
+					r.Body = make([]byte, 60<<10)
+					c := s.offer(r, decide.Unsafe)
+					switch moment {
+					case "before":
+						cut(0)
+					case "within the request":
+						cut(15)
+					}
+					a, how := c.Cross(t.Context())
+					runs := s.runs.Load()
+					if time.Now().After(r.Deadline) {
+						t.Errorf("it ends %v after the client's time", time.Since(r.Deadline))
+					}
+					switch {
+					case runs > 1, how == core.CrossedNever && runs > 0, how == core.CrossedServed && (runs != 1 || len(a.Body) != 100<<10):
+						t.Errorf("%v after %d runs, %d bytes", how, runs, len(a.Body))
+					case back && how == core.CrossedDoubt:
+						t.Errorf("in doubt though the link came back")
+					}
+					// What was left behind may still come: it must not run once "never" has been said.
+					s.wire.CutAfter(-1<<32, false, false)
+					s.wire.Cut(false, false)
+					if how == core.CrossedNever {
+						time.Sleep(200 * time.Millisecond)
+						if s.runs.Load() > 0 {
+							t.Error("it runs after all")
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// A site that is known sends what makes no sense: it loses that stream or its connection, and others go on.
+func TestMalformed(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	s.offer(request("order", testkit.Patient), decide.Unsafe).Cross(t.Context())
+	before := s.runs.Load()
+	dial := func() *quic.Conn {
+		t.Helper()
+		addr := s.server.tr.Conn.LocalAddr().(*net.UDPAddr)
+		c, err := quic.DialAddr(t.Context(), addr.String(), s.near.clientTLS("hall-b.example.org"), quicConfig(-1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.CloseWithError(0, "") })
+		return c
+	}
+	hello := appendFrame(nil, typeHello, []uint64{version, 99, 1}, nil)
+	send := func(c *quic.Conn, raw []byte) *quic.Stream {
+		st, err := c.OpenStream()
+		if err != nil {
+			t.Fatal(err)
+		}
+		st.Write(raw)
+		return st
+	}
+	for name, raw := range map[string][]byte{"noise": {0xff, 0x00, 0x13}, "a beat first": appendFrame(nil, typeBeat, []uint64{1, 1}, nil),
+		"another version": appendFrame(nil, typeHello, []uint64{version + 1, 99, 1}, nil), "oversized": appendFrame(nil, typeHello, []uint64{version, 99, 1}, make([]byte, 1<<12))} {
+		c := dial()
+		send(c, raw)
+		select {
+		case <-c.Context().Done():
+		case <-time.After(testkit.Patient):
+			t.Errorf("%s on the control stream is borne", name)
+		}
+	}
+	c := dial()
+	send(c, hello)
+	for name, raw := range map[string][]byte{"noise": {0x3f, 0x01}, "a hello": hello, "a hand-off without its time": appendFrame(nil, typeHandoff, []uint64{1, 1}, nil),
+		"an oversized one": appendFrame(nil, typeHandoff, []uint64{1, 1, 9}, make([]byte, requestLimit))} {
+		st := send(c, raw)
+		st.SetReadDeadline(time.Now().Add(testkit.Patient))
+		var broken *quic.StreamError
+		if _, err := st.Read(make([]byte, 1)); !errors.As(err, &broken) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	// It asks for a number that is another caller's: it learns nothing of it, and closes no door but its own.
+	st := send(c, appendFrame(nil, typeAsk, []uint64{1, 0}, nil))
+	_, f, text, err := readFrame(bufio.NewReader(st), answerLimit, 2, typeAnswer)
+	if err != nil || ledger.State(f[1]) != ledger.Fenced || len(text) > 0 {
+		t.Errorf("%v %q %v", f, text, err)
+	}
+	if s.runs.Load() != before {
+		t.Error("something ran")
+	}
+	if _, how := s.offer(request("order", testkit.Patient), decide.Unsafe).Cross(t.Context()); how != core.CrossedServed {
+		t.Errorf("others: %v", how)
+	}
+}
+
 // A client that goes takes its hand-off with it.
 func TestClientGone(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -17,6 +17,8 @@
 	to     *net.UDPAddr
 	delay  atomic.Int64 // ns, each way
 	loss   atomic.Int64 // of 1,000 datagrams
+	left   atomic.Int64 // datagrams until it cuts itself, if that is under way; else far below 0
+	which  atomic.Int64 // how it does: 1 what goes to the far side, 2 to the near side, 3 both
 	toFar  atomic.Bool  // cut
 	toNear atomic.Bool
 	bytes  atomic.Int64 // carried, both ways
@@ -45,6 +47,7 @@
 		return nil, err
 	}
 	w := &Wire{Addr: front.LocalAddr().String(), front: front, to: far, done: make(chan struct{}), flows: map[string]*net.UDPConn{}}
+	w.left.Store(-1 << 32)
 	w.work.Go(w.run)
 	return w, nil
 }
@@ -64,6 +67,19 @@
 // Carried gives the datagrams and their bytes so far, both ways, without IP and UDP headers.
 func (w *Wire) Carried() (datagrams, bytes int64) { return w.count.Load(), w.bytes.Load() }
 
+// CutAfter cuts, as Cut does, once so many datagrams more have been carried, either way.
+func (w *Wire) CutAfter(datagrams int, toFar, toNear bool) {
+	which := int64(0)
+	if toFar {
+		which |= 1
+	}
+	if toNear {
+		which |= 2
+	}
+	w.which.Store(which)
+	w.left.Store(int64(datagrams))
+}
+
 // Close ends it.
 func (w *Wire) Close() {
 	w.mu.Lock()
@@ -123,6 +139,10 @@
 }
 
 func (w *Wire) carry(cut *atomic.Bool, p []byte, send func([]byte)) {
+	if w.left.Add(-1) == -1 {
+		which := w.which.Load()
+		w.Cut(which&1 != 0, which&2 != 0)
+	}
 	if cut.Load() || rand.Int64N(1000) < w.loss.Load() {
 		return
 	}
