Rig: cobra for its flags, HdrHistogram for its quantiles

Need: both were written by hand. Change: cobra commands with the same flags (one dash is taken too), histograms to three digits in place of sorted lists.

--- a/cmd/rig/demo.go
+++ b/cmd/rig/demo.go
@@ -94,8 +94,8 @@
 
 // demo shows two halls at work until it is interrupted: the first is asked for a little more than it can do, and hands
 // work to the second while the link between them is up.
-func demo(ctx context.Context, o *options, args []string) error {
-	w, err := newWorkshop(ctx, "")
+func demo(ctx context.Context, o *options) error {
+	w, err := newWorkshop(ctx, o.binary)
 	if err != nil {
 		return err
 	}
--- a/cmd/rig/rules.go
+++ b/cmd/rig/rules.go
@@ -11,8 +11,8 @@
 
 // rules plays a day of troubles against one node and judges it by the four rules: a server drains, leaves, and a cold one
 // takes its place; one takes requests and answers none; one dies; clients ask twice what the servers can do.
-func rules(ctx context.Context, o *options, args []string) error {
-	w, err := workshopFor(ctx, "rules", args, nil)
+func rules(ctx context.Context, o *options) error {
+	w, err := newWorkshop(ctx, o.binary)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/standin/times.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Times is a histogram of durations from 1 us to 10 min, to three digits. Its zero value is empty.
+type Times struct{ h *hdrhistogram.Histogram }
+
+const (
+	timesMost   = int64(10 * time.Minute / time.Microsecond)
+	timesDigits = 3
+)
+
+// Add counts one duration; longer ones count as 10 min.
+func (t *Times) Add(d time.Duration) {
+	if t.h == nil {
+		t.h = hdrhistogram.New(1, timesMost, timesDigits)
+	}
+	t.h.RecordValue(min(max(1, d.Microseconds()), timesMost))
+}
+
+// Merge counts what another histogram has counted.
+func (t *Times) Merge(other Times) {
+	if other.h == nil {
+		return
+	}
+	if t.h == nil {
+		t.h = hdrhistogram.New(1, timesMost, timesDigits)
+	}
+	t.h.Merge(other.h)
+}
+
+// Quantile is the duration that a part q of 0 to 1 does not exceed; 0 if there is none.
+func (t Times) Quantile(q float64) time.Duration {
+	if t.h == nil {
+		return 0
+	}
+	return time.Duration(t.h.ValueAtQuantile(100*q)) * time.Microsecond
+}
+
+// Count is the number of durations.
+func (t Times) Count() int64 {
+	if t.h == nil {
+		return 0
+	}
+	return t.h.TotalCount()
+}
+
+func (t Times) copy() (out Times) {
+	out.Merge(t)
+	return out
+}
