Tests: how a crossing ends for its client, and SIGTERM on either side with one in flight

Need: the rig ends far nodes only. Change: the loop's crossing with a scripted Remote (served, never, doubt, by class; a client that goes; an id that is open abroad), and two nodes of which either is told to end.

--- a/internal/app/gateway_test.go
+++ b/internal/app/gateway_test.go
@@ -90,3 +90,56 @@
 		t.Error(err)
 	}
 }
+
+// SIGTERM on either side with a hand-off in flight: it is answered, and then the node ends.
+func TestEndWithHandoffInFlight(t *testing.T) {
+	t.Parallel()
+	for _, side := range []string{"near", "far"} {
+		t.Run(side, func(t *testing.T) {
+			t.Parallel()
+			came, let := make(chan struct{}, 9), make(chan struct{})
+			addr := testkit.Server(t, testkit.Answering(func(r *http.Request, _ []byte) string {
+				if r.URL.Path == "/order" {
+					came <- struct{}{}
+					<-let
+				}
+				return testkit.OK("from b")
+			}))
+			fileA, fileB := gatewayPair(t)
+			nodes := map[string]*testNode{"far": start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr), Gateway: fileB}),
+				"near": start(t, &Config{Settings: testkit.Settings(), Gateway: fileA})}
+			for end := time.Now().Add(testkit.Patient); ; time.Sleep(10 * time.Millisecond) {
+				if resp, _ := nodes["near"].ask(t, message("read", "9.5", "")); resp.StatusCode == 200 {
+					break
+				} else if time.Now().After(end) {
+					t.Fatal("nothing crosses")
+				}
+			}
+			status := make(chan int, 1)
+			go func() {
+				for { // the far side may have no room for a moment
+					resp, _ := nodes["near"].ask(t, message("order", "9.5", ""))
+					if resp.StatusCode != 503 {
+						status <- resp.StatusCode
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			}()
+			<-came
+			nodes[side].stop()
+			time.AfterFunc(700*time.Millisecond, func() { close(let) }) // past the time in which the listener stays open
+			if got := <-status; got != 200 {
+				t.Errorf("status %d", got)
+			}
+			select {
+			case err := <-nodes[side].ended:
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(testkit.Patient):
+				t.Error("it does not end")
+			}
+		})
+	}
+}
--- a/internal/core/ports_test.go
+++ b/internal/core/ports_test.go
@@ -224,3 +224,72 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// abroad is a Remote on which each hand-off ends as the test says, or with its client.
+type abroad struct {
+	offers chan bool // ran
+	end    chan Crossed
+	gone   chan struct{}
+}
+
+func (a *abroad) Offer(_ *Request, _ decide.Effect, ran bool) Crossing { a.offers <- ran; return a }
+func (a *abroad) Cross(ctx context.Context) (Answer, Crossed) {
+	select {
+	case how := <-a.end:
+		return Answer{Status: 200, Body: []byte("abroad")}, how
+	case <-ctx.Done():
+		close(a.gone)
+		return Answer{}, CrossedDoubt
+	}
+}
+
+// What the module refuses is offered; how the hand-off ends is the client's one answer: a refusal only if nothing may have run
+// or the class is safe. A client that goes calls it off, and the id is open for as long.
+func TestCrossing(t *testing.T) {
+	t.Parallel()
+	f, far := newFakes(), &abroad{offers: make(chan bool, 9), end: make(chan Crossed, 9), gone: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := New(ctx, Options{Settings: loopSettings(), Seed: 1, Transport: f, Members: f, Remote: far, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); l.Run(List{Version: 1, Full: true}) }() // no servers: all is refused
+	t.Cleanup(func() { cancel(); <-done })
+	for i, c := range []struct {
+		class  string
+		how    Crossed
+		status int
+	}{{"order", CrossedServed, 200}, {"order", CrossedNever, 503}, {"order", CrossedDoubt, 502}, {"read", CrossedDoubt, 503}, {"read", CrossedServed, 200}} {
+		far.end <- c.how
+		id := fmt.Sprint("q", i)
+		a, ok := l.Do(t.Context(), ask(c.class, id, patient))
+		if !ok || a.Status != c.status || (c.status == 200) != (string(a.Body) == "abroad") {
+			t.Errorf("%s, %v: %+v, %v", c.class, c.how, a, ok)
+		}
+		if ran := <-far.offers; ran {
+			t.Error("it is said to have run")
+		}
+		if l.holds(decide.RequestID(id)) {
+			t.Error("the request is kept")
+		}
+	}
+	if a, _ := l.Do(t.Context(), ask("unheard-of", "x", patient)); a.Status != 503 || len(far.offers) > 0 {
+		t.Errorf("a class that nobody knows: %+v", a)
+	}
+	client, leave := context.WithCancel(t.Context())
+	answered := make(chan bool, 1)
+	go func() { _, ok := l.Do(client, ask("order", "q", patient)); answered <- ok }()
+	<-far.offers
+	if a, _ := l.Do(t.Context(), ask("order", "q", patient)); a.Status != http.StatusConflict {
+		t.Errorf("the same id while it is abroad: %+v", a)
+	}
+	leave()
+	<-far.gone
+	if <-answered {
+		t.Error("a client that has gone is answered")
+	}
+	for l.holds("q") {
+		time.Sleep(time.Millisecond)
+	}
+}
