--- a/cmd/rig/rig_test.go
+++ b/cmd/rig/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -128,6 +129,50 @@
 	}
 }
 
+// What ran in the other hall is counted, and a keyed request there is seen.
+func TestAbroadIsSeen(t *testing.T) {
+	halls := []*hall{{name: "hall-a"}, {name: "hall-b"}}
+	for _, h := range halls {
+		var err error
+		if h.fleet, err = newFleet(1, 1, 9, kampklipWork(0.01)); err != nil {
+			t.Fatal(err)
+		}
+		defer h.close()
+	}
+	ask := func(at *hall, class, id, key string) {
+		t.Helper()
+		method := http.MethodGet
+		if key != "" {
+			method = http.MethodPost
+		}
+		req, err := http.NewRequest(method, "http://"+at.fleet.servers[0].Addr+"/"+class, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Correlation-Id", id)
+		req.Header.Set("X-Time-Left", "5")
+		if key != "" {
+			req.Header.Set("Idempotency-Key", key)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, err)
+		}
+		resp.Body.Close()
+	}
+	p := &gatewayPlay{halls: halls}
+	ask(halls[0], "tag-event", "x-hall-a-0-o1.0", "k1")
+	ask(halls[1], "viewer-clip", "x-hall-b-0-o1.0", "")
+	if p.crossed() != 0 || p.keysAbroad() != 0 {
+		t.Errorf("%d crossed, %d keyed, want none", p.crossed(), p.keysAbroad())
+	}
+	ask(halls[1], "viewer-clip", "x-hall-a-0-o2.0", "")
+	ask(halls[0], "tag-event", "x-hall-b-0-o2.0", "k2")
+	if p.crossed() != 2 || p.keysAbroad() != 1 {
+		t.Errorf("%d crossed, %d keyed, want 2 and 1", p.crossed(), p.keysAbroad())
+	}
+}
+
 // contextUntil ends once enough has happened, or too much time has passed.
 func contextUntil(t *testing.T, enough func() bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -413,6 +413,60 @@
 	}
 }
 
+// Both sides' authorities and certificates are replaced while a hand-off is out: it is answered, connections that are made from then
+// on are good by the new ones only, and a site that is removed is let go.
+func TestReplacedIdentity(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	began, let := make(chan struct{}), make(chan struct{})
+	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+		close(began)
+		<-let
+		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
+	old := *s.near.Get()
+	go func() {
+		<-began
+		a, _ := standin.NewAuthority()
+		certA, _, _, _ := a.Issue("hall-a.example.org", time.Now().Add(time.Hour))
+		near, far := *s.near.Get(), *s.far.Get()
+		near.Certificate, far.Peers = certA, []Peer{{Name: "hall-a.example.org", Roots: a.Roots()}}
+		s.near.Set(&near)
+		s.far.Set(&far)
+		close(let)
+	}()
+	if _, how := c.Cross(t.Context()); how != core.CrossedServed {
+		t.Errorf("%v", how)
+	}
+	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	for keeper, good := range map[*Keeper]bool{s.near: true, NewKeeper(&old): false} {
+		d, err := NewDialer(DialerOptions{Keeper: keeper, Log: testkit.Quiet})
+		if err != nil {
+			t.Fatal(err)
+		}
+		up := false
+		for end := time.Now().Add(500 * time.Millisecond); !up && (time.Now().Before(end) || good && time.Now().Before(end.Add(testkit.Patient))); time.Sleep(time.Millisecond) {
+			crossing := d.Offer(request("order", testkit.Patient), decide.Unsafe, false)
+			if up = crossing != nil; up {
+				crossing.Cross(t.Context())
+			}
+		}
+		if up != good {
+			t.Errorf("up: %v, want %v", up, good)
+		}
+		d.Close()
+	}
+	none := *s.far.Get()
+	none.Peers = nil
+	s.far.Set(&none)
+	for s.dialer.Views()[0].Up {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Neither side talks to one whose certificate is expired, of another name, or by another site's authority.
 func TestCertificates(t *testing.T) {
 	t.Parallel()
