--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -88,16 +88,16 @@
 	}
 	settings, known := f.classes[class]
 	if !known {
-		reject(w, http.StatusNotFound, "no such path")
+		f.turnAway(w, http.StatusNotFound, "no such path")
 		return
 	}
 	if f.Foreign && settings.Effect == decide.Keyed {
-		reject(w, http.StatusForbidden, "keyed requests do not cross")
+		f.turnAway(w, http.StatusForbidden, "keyed requests do not cross")
 		return
 	}
 	patience, status, fault := check(r, settings)
 	if fault != "" {
-		reject(w, status, fault)
+		f.turnAway(w, status, fault)
 		return
 	}
 	defer f.bodies.Add(-r.ContentLength)
@@ -109,7 +109,7 @@
 	}
 	body, status, fault := readBody(w, r)
 	if fault != "" {
-		reject(w, status, fault)
+		f.turnAway(w, status, fault)
 		return
 	}
 	if f.Lost != nil && f.Lost(r) {
@@ -134,6 +134,15 @@
 	f.write(w, a)
 }
 
+// turnAway answers what has not been taken. One from another site, whose own checks it has passed, does not fit this
+// site's settings: that is no fault of its client's, and its own site answers it.
+func (f *Handler) turnAway(w http.ResponseWriter, status int, fault string) {
+	if f.Foreign {
+		status = http.StatusServiceUnavailable
+	}
+	reject(w, status, fault)
+}
+
 // reject answers what is no request. Where one ends on its connection is in doubt, so nothing more is read there.
 func reject(w http.ResponseWriter, status int, fault string) {
 	w.Header().Set("Connection", "close")
