Model: servers, nodes and clients round the real module in virtual time; paired experiments

Need: a rehearsal compares two versions on one set of arrivals, with clients whose tries follow the answers.

Change: internal/model plays orders, tries, attempts, a node's core, cold, mute, slow and crashed servers, with any Decider; works and arrivals are drawn by streams that no version shifts, waits by the order's number. internal/experiment has the interval of paired differences (gonum).

Result: the same sums at any GOMAXPROCS; a version against itself differs by 0 exactly; servers 2% slower are seen in twelve pairs.

--- /dev/null
+++ b/internal/model/fleet_test.go
@@ -0,0 +1,134 @@
+package model
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/experiment"
+)
+
+// sunday is two nodes before six servers of four cores, with the Kampklip classes.
+func sunday(load float64, faults ...Fault) *Scenario {
+	class := func(name string, share, worth float64, work, aim, patience time.Duration, e decide.Effect) Class {
+		return Class{Class: decide.Class{Name: name, Worth: worth, Aim: aim, Deadline: patience, Effect: e, KeyScope: decide.ScopeCell, DedupWindow: 8 * time.Second},
+			Share: share, Work: work, WorkCV: 0.5, Wait: 100 * time.Millisecond}
+	}
+	const ms = time.Millisecond
+	sc := &Scenario{Length: 20 * time.Second, Nodes: 2, Hop: ms, Retries: 2, NodeCost: 30 * time.Microsecond, Faults: faults, Classes: []Class{
+		class("broadcast-clip", 0.12, 12, 100*ms, 600*ms, 1200*ms, decide.Safe), class("viewer-clip", 0.40, 1, 70*ms, 600*ms, 2*time.Second, decide.Safe),
+		class("cut-order", 0.24, 1, 200*ms, 2*time.Second, 6*time.Second, decide.Unsafe), class("tag-event", 0.24, 1, 150*ms, 1500*ms, 4*time.Second, decide.Keyed)}}
+	mean := 0.0
+	for _, c := range sc.Classes {
+		mean += c.Share * c.Work.Seconds()
+		sc.Settings.Classes = append(sc.Settings.Classes, c.Class)
+	}
+	for i := range 6 {
+		sc.Servers = append(sc.Servers, ServerSpec{Name: fmt.Sprint("s-", i), Zone: "hall-a", Cell: i / 2, Cores: 4, Speed: 1, Room: 60, ColdFrom: 0.32, ColdTime: 8 * time.Second})
+	}
+	sc.Rate = load * 24 / mean
+	sc.Settings.Zone, sc.Settings.Zones, sc.Settings.MaxAttempts, sc.Settings.MayCancel, sc.Settings.HoldOffs = "hall-a", []string{"hall-a"}, 4, true, true
+	sc.Settings.MaxHoldOff, sc.Settings.ConnectTimeout, sc.Settings.ColdFrom, sc.Settings.ColdTime = 2*time.Second, 250*time.Millisecond, 0.32, 8*time.Second
+	return sc
+}
+
+// The same seed gives the same run at any GOMAXPROCS, another seed another one; every order has one end.
+func TestSameSeedSameRun(t *testing.T) {
+	sc := sunday(0.8, Fault{At: 5 * time.Second, For: 5 * time.Second, Server: 1, Kind: Mute}, Fault{At: 8 * time.Second, For: 3 * time.Second, Server: 2, Kind: Crash})
+	first := Play(sc, 1)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	if again := Play(sc, 1); again != first {
+		t.Errorf("%+v, then %+v", first, again)
+	}
+	if Play(sc, 2) == first {
+		t.Error("the seed does not count")
+	}
+	if first.Served+first.Refused+first.Failed != first.Orders || first.Orders < 1000 {
+		t.Errorf("%+v: every order has one end", first)
+	}
+}
+
+// What is known of the real node holds in the model: calm days are served, an overload keeps the dear class, and no unsafe
+// order runs twice whatever happens.
+func TestModelBehaves(t *testing.T) {
+	calm := Play(sunday(0.5), 3)
+	if calm.Worth() < 0.98 || calm.Doubled > 0 {
+		t.Errorf("calm: worth %.3f, %+v", calm.Worth(), calm)
+	}
+	over := Play(sunday(1.5), 3)
+	if over.Worth() < 0.65 || over.Refused == 0 || over.Doubled > 0 {
+		t.Errorf("overload: worth %.3f, %+v", over.Worth(), over)
+	}
+	var faults []Fault
+	for i, kind := range []FaultKind{Mute, Crash, Slow, Crash} {
+		faults = append(faults, Fault{At: time.Duration(4+3*i) * time.Second, For: 4 * time.Second, Server: i, Kind: kind})
+	}
+	rough := Play(sunday(0.6, faults...), 3)
+	if rough.Worth() < 0.5 || rough.Worth() > calm.Worth() || rough.Doubled > 0 || rough.Failed == 0 {
+		t.Errorf("rough: worth %.3f, %+v", rough.Worth(), rough)
+	}
+}
+
+// random sends each request to any server: what users would have without a decider.
+type random struct {
+	s       *Stream
+	servers int
+}
+
+func (r *random) Handle(_ decide.Time, e decide.Event) []decide.Action {
+	switch e := e.(type) {
+	case decide.RequestArrived:
+		return []decide.Action{decide.Send{ID: e.ID, Server: decide.ServerID(1 + r.s.IntN(r.servers))}}
+	case decide.AttemptEnded:
+		if !e.Over && e.Code != decide.OK {
+			return []decide.Action{decide.Fail{ID: e.ID}}
+		}
+	}
+	return nil
+}
+
+// Another decider takes the module's place with no change here, and meets the same arrivals.
+func TestAnotherDecider(t *testing.T) {
+	sc, plain := sunday(1.2), sunday(1.2)
+	plain.Make = func(_ decide.Settings, seed int64) Decider {
+		return &random{NewStreams(uint64(seed)).Of("random", "pick"), len(plain.Servers)}
+	}
+	ours, theirs := Play(sc, 5), Play(plain, 5)
+	if ours.Orders != theirs.Orders || ours.Asked != theirs.Asked {
+		t.Errorf("%d and %d orders: not the same arrivals", ours.Orders, theirs.Orders)
+	}
+	if ours.Worth() < theirs.Worth()+0.2 {
+		t.Errorf("worth %.3f, random choice %.3f", ours.Worth(), theirs.Worth())
+	}
+}
+
+func BenchmarkSunday(b *testing.B) {
+	for b.Loop() {
+		Play(sunday(0.8), 1)
+	}
+}
+
+// What rehearsals are for: a version against itself gives an interval that covers zero, and servers that are 2% slower are
+// seen in twelve pairs.
+func TestSlowdownIsSeen(t *testing.T) {
+	measure := func(speed float64) func(uint64) float64 {
+		return func(seed uint64) float64 {
+			sc := sunday(1.2)
+			for i := range sc.Servers {
+				sc.Servers[i].Speed = speed
+			}
+			return Play(sc, seed).Worth()
+		}
+	}
+	same, err := experiment.Compare(measure(1), measure(1), 1, 4, 0.95)
+	if err != nil || same.Differs() || same.Mean != 0 {
+		t.Errorf("itself: %v, %v", same, err)
+	}
+	slower, err := experiment.Compare(measure(1), measure(0.98), 1, 12, 0.95)
+	if err != nil || !slower.Differs() || slower.Mean >= 0 {
+		t.Errorf("2%% slower: %v, %v", slower, err)
+	}
+	t.Log(slower)
+}
--- a/internal/model/streams.go
+++ b/internal/model/streams.go
@@ -27,6 +27,12 @@
 	return s.made[key]
 }
 
+// At gives the stream of the n-th thing of an entity for a purpose, made anew at each call and not kept: for what is drawn at
+// moments that differ from version to version, as a client's waits.
+func (s *Streams) At(entity, purpose string, n uint64) *Stream {
+	return &Stream{rand.New(rand.NewPCG(s.seed^mix(n, 1), mix(xxhash.Sum64String(entity), xxhash.Sum64String(purpose))))}
+}
+
 // mix makes one number of two, in which their order counts.
 func mix(a, b uint64) uint64 {
 	z := a*0x9e3779b97f4a7c15 + b
