--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -3,23 +3,18 @@
 package gateway
 
 import (
-	"bytes"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
 	"starlingvalve/internal/link"
+	"starlingvalve/internal/tomlfile"
 )
 
 // Config is a gateway file, checked. Paths in it are relative to its folder.
@@ -79,25 +74,10 @@
 func parse(path string, raw []byte, now time.Time) (*Config, error) {
 	f := file{}
 	f.Limits.Out, f.Limits.In, f.Limits.Entries, f.Limits.Bytes, f.Limits.SpareShare = 256, 256, 10_000, 16<<20, 0.5
-	d := toml.NewDecoder(bytes.NewReader(raw))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&f); err != nil {
-		var strict *toml.StrictMissingError
-		var wrong *toml.DecodeError
-		switch {
-		case errors.As(err, &strict) && len(strict.Errors) > 0:
-			line, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d: %s: unknown key", path, line, strings.Join(strict.Errors[0].Key(), "."))
-		case errors.As(err, &wrong):
-			line, _ := wrong.Position()
-			return nil, fmt.Errorf("%s:%d: %s: %s", path, line, strings.Join(wrong.Key(), "."), oneLine(wrong.Error()))
-		}
-		return nil, fmt.Errorf("%s: %s", path, oneLine(err.Error()))
-	}
-	lines := keyLines(raw)
-	fault := func(key, format string, args ...any) error {
-		return fmt.Errorf("%s:%d: %s: %s", path, lines[key], key, oneLine(fmt.Sprintf(format, args...)))
+	if err := tomlfile.Decode(path, raw, &f); err != nil {
+		return nil, err
 	}
+	fault := tomlfile.Faults(path, raw)
 	c := &Config{Path: path, Out: f.Limits.Out, In: f.Limits.In, Entries: f.Limits.Entries, Bytes: f.Limits.Bytes, SpareShare: f.Limits.SpareShare,
 		Identity: &link.Identity{Site: f.Site.Name}}
 	var err error
@@ -205,39 +185,3 @@
 	}
 	return pool, nil
 }
-
-func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
-
-// keyLines gives the line of each key of a well-formed file, "peer[0].name" for those of arrays, and of each table.
-func keyLines(raw []byte) map[string]int {
-	lines, count := map[string]int{}, map[string]int{}
-	p := unstable.Parser{}
-	p.Reset(raw)
-	table := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			parts = append(parts, string(it.Node().Data))
-			if line == 0 {
-				line = p.Shape(it.Node().Raw).Start.Line
-			}
-		}
-		name := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			table, lines[name] = name+".", line
-		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s[%d].", name, count[name])
-			count[name]++
-			lines[name] = line
-			for _, key := range []string{"name", "roots", "addresses"} { // where a missing one is to be put
-				lines[table+key] = line
-			}
-		case unstable.KeyValue:
-			lines[table+name] = line
-		}
-	}
-	return lines
-}
--- /dev/null
+++ b/internal/tomlfile/tomlfile.go
@@ -0,0 +1,83 @@
+// Package tomlfile reads configuration in TOML strictly: what is wrong is one line with file, line and key.
+package tomlfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Decode reads a file's text into what into points to. An unknown key and a wrong type are errors. path is for the errors only.
+func Decode(path string, raw []byte, into any) error {
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	if err == nil {
+		return nil
+	}
+	var strict *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case errors.As(err, &strict) && len(strict.Errors) > 0:
+		line, _ := strict.Errors[0].Position()
+		return fmt.Errorf("%s:%d: %s: unknown key", path, line, strings.Join(strict.Errors[0].Key(), "."))
+	case errors.As(err, &wrong):
+		line, _ := wrong.Position()
+		return fmt.Errorf("%s:%d: %s: %s", path, line, strings.Join(wrong.Key(), "."), oneLine(wrong.Error()))
+	}
+	return fmt.Errorf("%s: %s", path, oneLine(err.Error()))
+}
+
+// Faults makes errors about keys of a text that Decode has taken: of the line where the key is, or else of its table. Keys in an
+// array of tables are named like "peer[0].name".
+func Faults(path string, raw []byte) func(key, format string, args ...any) error {
+	lines := keyLines(raw)
+	return func(key, format string, args ...any) error {
+		line, at := 0, key
+		for line = lines[at]; line == 0 && at != ""; line = lines[at] {
+			at = at[:max(0, strings.LastIndexByte(at, '.'))]
+		}
+		where := path
+		if line > 0 {
+			where = fmt.Sprintf("%s:%d", path, line)
+		}
+		return fmt.Errorf("%s: %s: %s", where, key, oneLine(fmt.Sprintf(format, args...)))
+	}
+}
+
+func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
+
+// keyLines gives the line of each key of a well-formed file, "peer[0].name" for those of arrays, and of each table.
+func keyLines(raw []byte) map[string]int {
+	lines, count := map[string]int{}, map[string]int{}
+	p := unstable.Parser{}
+	p.Reset(raw)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			parts = append(parts, string(it.Node().Data))
+			if line == 0 {
+				line = p.Shape(it.Node().Raw).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table, lines[name] = name+".", line
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d].", name, count[name])
+			count[name]++
+			lines[strings.TrimSuffix(table, ".")] = line
+		case unstable.KeyValue:
+			lines[table+name] = line
+		}
+	}
+	return lines
+}
