--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -39,6 +39,7 @@
 	base, only     string // of scale
 	servers        int    // of fleet
 	cuts, requests int    // of gateway
+	scenarios      string // of rehearse
 }
 
 var rigs = map[string]rig{
@@ -54,6 +55,9 @@
 		fs.StringVar(&o.base, "base", "", "a `build` of an earlier program, to be measured beside it")
 		fs.StringVar(&o.only, "only", "", "some of table, step, mix, slow, starved, overload, by commas")
 	}},
+	"rehearse": {"scenarios in the model: the module beside baselines, with error bars", rehearse, func(fs *pflag.FlagSet, o *options) {
+		fs.StringVar(&o.scenarios, "scenarios", "deploy/scenarios", "`folder` of scenario files")
+	}},
 	"rules": {"the four rules under drains, cold starts, silent servers and overload", rules, nil},
 }
 
--- /dev/null
+++ b/cmd/rig/rehearse.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"starlingvalve/internal/experiment"
+	"starlingvalve/internal/model"
+)
+
+// rehearse plays scenarios in the model, the module beside what users would pick instead, with error bars; and proves that a
+// version against itself does not differ and that servers 2% slower are seen.
+func rehearse(ctx context.Context, o *options) error {
+	files, err := filepath.Glob(filepath.Join(o.scenarios, "*.toml"))
+	if err != nil {
+		return err
+	}
+	if len(files) == 0 {
+		return fmt.Errorf("%s: no scenario there; name a folder with -scenarios", o.scenarios)
+	}
+	pairs := 12
+	if o.quick {
+		pairs = 4
+	}
+	for _, path := range files {
+		name := strings.TrimSuffix(filepath.Base(path), ".toml")
+		sc, err := model.LoadScenario(path)
+		if err != nil {
+			return err
+		}
+		doubled := 0
+		worth := func(make func() *model.Scenario) func(uint64) float64 {
+			return func(seed uint64) float64 {
+				if ctx.Err() != nil {
+					return 0
+				}
+				s := model.Play(make(), seed)
+				doubled += s.Doubled
+				return s.Worth()
+			}
+		}
+		with := func(change func(*model.Scenario)) func() *model.Scenario {
+			return func() *model.Scenario {
+				c := *sc
+				c.Servers = append([]model.ServerSpec(nil), sc.Servers...)
+				change(&c)
+				return &c
+			}
+		}
+		ours := with(func(*model.Scenario) {})
+		for _, other := range []struct {
+			name   string
+			change func(*model.Scenario)
+		}{{"random", func(c *model.Scenario) { c.Make = model.Random(len(c.Servers)) }},
+			{"least-of-two", func(c *model.Scenario) { c.Make = model.LeastOfTwo(len(c.Servers)) }}} {
+			i, err := experiment.Compare(worth(with(other.change)), worth(ours), o.seed, pairs, 0.95)
+			if err != nil {
+				return err
+			}
+			o.out.figure("rehearse."+name+"."+other.name, i, "worth, the module's less that")
+		}
+		o.out.promise(doubled == 0, "%s: no unsafe order runs twice", name)
+		if name != "retry-storm" { // the one that is short of servers all the time
+			continue
+		}
+		slower := with(func(c *model.Scenario) {
+			for i := range c.Servers {
+				c.Servers[i].Speed *= 0.98
+			}
+		})
+		same, err := experiment.Compare(worth(ours), worth(ours), o.seed, pairs, 0.95)
+		if err != nil {
+			return err
+		}
+		o.out.promise(same.Covers(0), "%s: against itself the interval covers zero: %v", name, same)
+		planted, err := experiment.Compare(worth(ours), worth(slower), o.seed, pairs, 0.95)
+		if err != nil {
+			return err
+		}
+		o.out.promise(planted.High < 0, "%s: servers 2%% slower are seen: %v", name, planted)
+	}
+	if err := ctx.Err(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return ctx.Err()
+}
--- a/internal/model/fleet_test.go
+++ b/internal/model/fleet_test.go
@@ -71,30 +71,10 @@
 	}
 }
 
-// random sends each request to any server: what users would have without a decider.
-type random struct {
-	s       *Stream
-	servers int
-}
-
-func (r *random) Handle(_ decide.Time, e decide.Event) []decide.Action {
-	switch e := e.(type) {
-	case decide.RequestArrived:
-		return []decide.Action{decide.Send{ID: e.ID, Server: decide.ServerID(1 + r.s.IntN(r.servers))}}
-	case decide.AttemptEnded:
-		if !e.Over && e.Code != decide.OK {
-			return []decide.Action{decide.Fail{ID: e.ID}}
-		}
-	}
-	return nil
-}
-
 // Another decider takes the module's place with no change here, and meets the same arrivals.
 func TestAnotherDecider(t *testing.T) {
 	sc, plain := sunday(1.2), sunday(1.2)
-	plain.Make = func(_ decide.Settings, seed int64) Decider {
-		return &random{NewStreams(uint64(seed)).Of("random", "pick"), len(plain.Servers)}
-	}
+	plain.Make = Random(len(plain.Servers))
 	ours, theirs := Play(sc, 5), Play(plain, 5)
 	if ours.Orders != theirs.Orders || ours.Asked != theirs.Asked {
 		t.Errorf("%d and %d orders: not the same arrivals", ours.Orders, theirs.Orders)
