--- a/internal/model/fleet_test.go
+++ b/internal/model/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,6 +72,56 @@
 	}
 }
 
+// Servers that slow down when crowded serve less of an overload, and clients that heed no hold-off ask more often.
+func TestCrowdsAndManners(t *testing.T) {
+	random := func(change func(*Scenario)) Sums {
+		sc := sunday(1.1)
+		sc.Make = Random(len(sc.Servers))
+		change(sc)
+		return Play(sc, 4)
+	}
+	plain := random(func(*Scenario) {})
+	crowded := random(func(sc *Scenario) {
+		for i := range sc.Servers {
+			sc.Servers[i].CrowdFrom, sc.Servers[i].CrowdSlow = 8, 1
+		}
+	})
+	if crowded.Served >= plain.Served*9/10 || crowded.Orders != plain.Orders {
+		t.Errorf("%d served of %d, %d with crowds", plain.Served, plain.Orders, crowded.Served)
+	}
+	over := sunday(1.5)
+	calm := Play(over, 4)
+	over.Heedless = 1
+	if heedless := Play(over, 4); heedless.Tries <= calm.Tries || heedless.Orders != calm.Orders {
+		t.Errorf("%d tries, %d by heedless clients", calm.Tries, heedless.Tries)
+	}
+}
+
+// listener is a decider that hears lists only.
+type listener struct {
+	heard *[]string
+}
+
+func (l *listener) Handle(now decide.Time, e decide.Event) []decide.Action {
+	if e, ok := e.(decide.ListUpdate); ok && e.Kind == decide.ListChanges {
+		*l.heard = append(*l.heard, fmt.Sprint(now-epochTime, " ", e.Entries[0].ID, " ", e.Entries[0].State, " ", e.Entries[0].StartedAt-epochTime))
+	}
+	return nil
+}
+
+// Nodes hear of a crash and of the new start by the registry, as late as it is.
+func TestRegistryLag(t *testing.T) {
+	sc := sunday(0.01, Fault{At: 5 * time.Second, For: 4 * time.Second, Server: 2, Kind: Crash})
+	sc.Nodes, sc.Lag = 1, 3*time.Second
+	var heard []string
+	sc.Make = func(decide.Settings, int64) Decider { return &listener{&heard} }
+	Play(sc, 1)
+	want := []string{fmt.Sprint("8s 3 ", decide.Gone, " ", -time.Hour), fmt.Sprint("12s 3 ", decide.Ready, " 9s")}
+	if !slices.Equal(heard, want) {
+		t.Errorf("%q, want %q", heard, want)
+	}
+}
+
 // Another decider takes the module's place with no change here, and meets the same arrivals.
 func TestAnotherDecider(t *testing.T) {
 	sc, plain := sunday(1.2), sunday(1.2)
