One map of classes in the loop, one LongestDeadline for all

Need: the longest deadline was computed in three places, and the loop kept two maps made of the same classes. Change: decide.Settings.LongestDeadline serves the drain, the ledger's keeping and the model; the loop looks classes up in one map. Result: behaviour as it was; the tests of core, front, app and model pass.

--- a/decide/api.go
+++ b/decide/api.go
@@ -113,6 +113,14 @@
 	OverloadTime   time.Duration // when that lasts so long
 }
 
+// LongestDeadline is the longest Deadline of any class.
+func (s *Settings) LongestDeadline() (longest time.Duration) {
+	for i := range s.Classes {
+		longest = max(longest, s.Classes[i].Deadline)
+	}
+	return longest
+}
+
 // Goal weighs the parts of the result.
 type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant float64 }
 
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -89,7 +89,7 @@
 			running.Wait()
 			return err
 		}
-		g.serve(&running)
+		running.Go(func() { g.server.Serve() })
 	}
 	running.Go(func() { follow(inner, c, loop, g, reload, log) })
 	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
@@ -119,7 +119,7 @@
 
 // drainTime is how long after SIGTERM the last answers have left: before the node may be killed.
 func (c *Config) drainTime() time.Duration {
-	return min(longestDeadline(c.Settings), drainLongest) + killAfter - killMargin
+	return min(c.Settings.LongestDeadline(), drainLongest) + killAfter - killMargin
 }
 
 // follow reads the configuration again whenever it is told to, until ctx ends. A bad one changes nothing; of a good
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -5,10 +5,8 @@
 	"log/slog"
 	"math"
 	"net"
-	"sync"
 	"time"
 
-	"starlingvalve/decide"
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/gateway"
@@ -49,7 +47,7 @@
 	g.handler = front.NewHandler(loop, c.Settings, int64(foreignBodyPart*memory), g.log)
 	g.handler.Foreign = true
 	g.server, err = link.NewServer(udp, link.ServerOptions{Keeper: g.keeper, Handoffs: g.config.In,
-		Ledger: ledger.Limits{Entries: g.config.Entries, Bytes: min(g.config.Bytes, int(ledgerPart*memory)), Keep: longestDeadline(c.Settings) + time.Second},
+		Ledger: ledger.Limits{Entries: g.config.Entries, Bytes: min(g.config.Bytes, int(ledgerPart*memory)), Keep: c.Settings.LongestDeadline() + time.Second},
 		Handle: gateway.Handle(g.handler), Credit: func() int { return int(math.Ceil(g.config.SpareShare * loop.Headroom())) }, Log: g.log})
 	return err
 }
@@ -81,13 +79,3 @@
 	}
 	return g.dialer
 }
-
-// serveGate runs the gate's front until it is closed.
-func (g *gate) serve(running *sync.WaitGroup) { running.Go(func() { g.server.Serve() }) }
-
-func longestDeadline(s decide.Settings) (longest time.Duration) {
-	for _, class := range s.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	return longest
-}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -35,12 +35,11 @@
 type Loop struct {
 	module    *decide.Module
 	settings  decide.Settings
-	windows   map[string]time.Duration // of keyed classes: how long backends remember a key
+	classes   map[string]decide.Class
 	transport Transport
 	members   Membership
 	messenger Messenger
-	remote    Remote                   // nil: nothing crosses
-	effects   map[string]decide.Effect // of classes
+	remote    Remote // nil: nothing crosses
 	log       *slog.Logger
 	lag       *lagMeter // nil: not measured
 
@@ -82,19 +81,15 @@
 		return nil, fmt.Errorf("pipe: %w", err)
 	}
 	now := time.Now()
-	windows := map[string]time.Duration{}
-	effects := map[string]decide.Effect{}
-	for _, class := range o.Settings.Classes {
-		effects[class.Name] = class.Effect
-		if class.Effect == decide.Keyed {
-			windows[class.Name] = class.DedupWindow
-		}
+	classes := map[string]decide.Class{}
+	for _, c := range o.Settings.Classes {
+		classes[c.Name] = c
 	}
 	if o.Messenger == nil {
 		o.Messenger = noMessenger{}
 	}
-	return &Loop{windows: windows, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
-		messenger: o.Messenger, remote: o.Remote, effects: effects, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
+	return &Loop{classes: classes, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
+		messenger: o.Messenger, remote: o.Remote, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
 		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{}, ready: map[decide.ServerID]bool{}}, nil
 }
 
@@ -240,7 +235,9 @@
 		r.answer <- Answer{Status: http.StatusConflict}
 		return
 	}
-	r.window = l.windows[r.Arrived.Class]
+	if c := l.classes[r.Arrived.Class]; c.Effect == decide.Keyed {
+		r.window = c.DedupWindow
+	}
 	l.requests[r.Arrived.ID] = r
 	r.Arrived.Patience = time.Until(r.Deadline)
 	l.handle(r.Arrived)
@@ -258,11 +255,11 @@
 	for _, t := range r.attempts {
 		ran = ran || !t.neverRan
 	}
-	effect, known := l.effects[r.Arrived.Class]
+	class, known := l.classes[r.Arrived.Class]
 	if !known {
 		return false
 	}
-	c := l.remote.Offer(r, effect, ran)
+	c := l.remote.Offer(r, class.Effect, ran)
 	if c == nil {
 		return false
 	}
@@ -274,7 +271,7 @@
 		a, how := c.Cross(ctx)
 		switch {
 		case how == CrossedServed:
-		case how == CrossedNever, effect == decide.Safe:
+		case how == CrossedNever, class.Effect == decide.Safe:
 			a = refusal
 		default:
 			a = Answer{Status: http.StatusBadGateway}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -41,6 +41,7 @@
 	loop      *core.Loop
 	log       *slog.Logger
 	classes   map[string]decide.Class
+	longest   time.Duration
 	drainEnd  atomic.Pointer[time.Time] // set once the node is to end
 	closing   atomic.Bool               // it takes no more requests
 	open      atomic.Int64              // requests that the module has
@@ -51,7 +52,7 @@
 
 // NewHandler makes a handler that holds at most so many bytes of bodies.
 func NewHandler(l *core.Loop, s decide.Settings, maxBodies int64, log *slog.Logger) *Handler {
-	f := &Handler{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: math.MaxInt64, maxBodies: maxBodies}
+	f := &Handler{loop: l, log: log, classes: map[string]decide.Class{}, longest: s.LongestDeadline(), maxOpen: math.MaxInt64, maxBodies: maxBodies}
 	if m := s.MaxOpen; m > 0 {
 		f.maxOpen = int64(m)
 	}
@@ -65,12 +66,7 @@
 func (f *Handler) Drain(end time.Time) { f.drainEnd.Store(&end) }
 
 // Longest is the longest deadline of any class.
-func (f *Handler) Longest() (longest time.Duration) {
-	for _, c := range f.classes {
-		longest = max(longest, c.Deadline)
-	}
-	return longest
-}
+func (f *Handler) Longest() time.Duration { return f.longest }
 
 // LastCall has no more requests taken.
 func (f *Handler) LastCall() { f.closing.Store(true) }
--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -202,11 +202,7 @@
 // Play runs a scenario to its end and gives what came of it.
 func Play(sc *Scenario, seed uint64) Sums {
 	f := NewFleet(sc, seed)
-	longest := time.Duration(0)
-	for _, c := range sc.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	f.Run(sc.Length + 2*longest)
+	f.Run(sc.Length + 2*sc.Settings.LongestDeadline())
 	return f.Sums
 }
 
