Gateway tests: a stalled hand-off, a site removed with one out, every execution accounted

Need: these hard cases were shown by nothing, nor both halls short at once and a link that is up and too slow. The tests of the link share their usual answer, and a Cut ends a CutAfter.

--- a/cmd/rig/gateway.go
+++ b/cmd/rig/gateway.go
@@ -26,6 +26,8 @@
 	mostHarm    = 0.02
 )
 
+var oneShort = [2]float64{shortLoad, calmLoad}
+
 var evenHalls = [2]int{hallServers, hallServers}
 
 // hall is one site: servers, a registry and nodes, and a wire to the link port of each node.
@@ -73,7 +75,7 @@
 		if err != nil {
 			return err
 		}
-		p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed}
+		p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed, load: oneShort}
 		p.run(ctx, fmt.Sprintf("calm%d", on), func(ctx context.Context) { sleepFor(ctx, calm) })
 		for i := range halls {
 			worth[on][i], inTime[on][i] = p.sums[i].Worth(), float64(p.sums[i].InAim)/float64(max(1, p.sums[i].Orders))
@@ -83,7 +85,7 @@
 		if on == 1 {
 			o.out.figure("gateway.calm.crossed", p.crossed(), "requests of one hall that ran in the other")
 			o.out.promise(p.crossed() > 0, "calm: the hall that runs short hands work over")
-			o.out.verdicts(standin.Check(p.evidence()))
+			p.judge(o.out)
 		}
 		closeHalls(halls)
 	}
@@ -94,12 +96,15 @@
 	o.out.promise(gain >= leastGain, "calm: worth at least %.1f times that without the link", leastGain)
 	o.out.promise(worth[1][1] >= worth[0][1]-mostHarm, "calm: the other hall's own worth falls by %.2f at most: %.3f, %.3f without", mostHarm, worth[1][1], worth[0][1])
 
+	if err := o.odd(ctx, w, capacity, calm/2); err != nil {
+		return err
+	}
 	halls, err := openHalls(ctx, w, true, evenHalls, hallCores)
 	if err != nil {
 		return err
 	}
 	defer closeHalls(halls)
-	p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed + 1}
+	p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed + 1, load: oneShort}
 	kinds := map[string]int{}
 	p.run(ctx, "cuts", func(ctx context.Context) {
 		r := rand.New(rand.NewPCG(o.seed, 0x63757473))
@@ -144,10 +149,38 @@
 			}
 		}
 	}
-	o.out.verdicts(standin.Check(p.evidence()))
+	p.judge(o.out)
 	return nil
 }
 
+// odd plays what no cut is: both halls short at once, and a link that is up and too slow for any deadline.
+func (o *options) odd(ctx context.Context, w *workshop, capacity float64, length time.Duration) error {
+	for _, c := range []struct {
+		name  string
+		load  [2]float64
+		delay time.Duration // each way
+	}{{"both-short", [2]float64{shortLoad, shortLoad}, time.Millisecond}, {"too-slow", oneShort, 12 * time.Second}} {
+		halls, err := openHalls(ctx, w, true, evenHalls, hallCores)
+		if err != nil {
+			return err
+		}
+		for _, h := range halls {
+			for _, wire := range h.wires {
+				wire.Delay(c.delay)
+			}
+		}
+		p := &gatewayPlay{halls: halls, capacity: capacity, seed: o.seed + 2, load: c.load}
+		p.run(ctx, c.name, func(ctx context.Context) { sleepFor(ctx, length) })
+		o.out.figure("gateway."+c.name+".crossed", p.crossed(), "requests of one hall that ran in the other")
+		for i, h := range halls {
+			o.out.figure("gateway."+c.name+"."+h.name+".worth", p.sums[i].Worth(), "of what was asked")
+		}
+		p.judge(o.out)
+		closeHalls(halls)
+	}
+	return ctx.Err()
+}
+
 func meanWork() (seconds float64) {
 	work := kampklipWork(1)
 	for _, c := range kampklip {
@@ -260,7 +293,8 @@
 // gatewayPlay is one load on two halls.
 type gatewayPlay struct {
 	halls    []*hall
-	capacity float64 // of a hall, requests a second
+	load     [2]float64 // of each hall's capacity
+	capacity float64    // of a hall, requests a second
 	seed     uint64
 	loads    [2][]*standin.Load
 	sums     [2]standin.Sums
@@ -270,7 +304,7 @@
 func (p *gatewayPlay) run(ctx context.Context, prefix string, during func(context.Context)) {
 	inner, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
-	for i, times := range []float64{shortLoad, calmLoad} {
+	for i, times := range p.load {
 		h := p.halls[i]
 		nodes := h.nodes
 		if i == 1 {
@@ -322,6 +356,12 @@
 	return n
 }
 
+// judge prints the verdicts on all that clients and servers have logged.
+func (p *gatewayPlay) judge(out *report) {
+	e := p.evidence()
+	out.verdicts(append(standin.Check(e), standin.Accounted(e)))
+}
+
 // keysAbroad counts keyed requests that came to a server of the other hall.
 func (p *gatewayPlay) keysAbroad() (n int) {
 	for i, h := range p.halls {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -24,6 +24,12 @@
 	"starlingvalve/internal/testkit"
 )
 
+var okText = []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+func answerOK(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+	return ledger.Done, okText
+}
+
 // sites are a near and a far one, with a wire between.
 type sites struct {
 	t          testing.TB
@@ -57,9 +63,7 @@
 	certB, _, _, err := s.b.Issue("hall-b.example.org", later)
 	must(err)
 	s.far = NewKeeper(&Identity{Site: "hall-b.example.org", Certificate: certB, Peers: []Peer{{Name: "hall-a.example.org", Roots: s.a.Roots()}}})
-	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
-		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-	})
+	s.answer(answerOK)
 	s.start("127.0.0.1:0")
 	s.wire, err = standin.NewWire(s.server.tr.Conn.LocalAddr().String())
 	must(err)
@@ -164,7 +168,7 @@
 	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
 		close(began)
 		<-let
-		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return ledger.Done, okText
 	})
 	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
 	go func() {
@@ -259,7 +263,7 @@
 					cut := func(after int) {
 						s.wire.CutAfter(after, way.toFar, way.toNear)
 						if back {
-							time.AfterFunc(300*time.Millisecond, func() { s.wire.CutAfter(-1<<32, false, false); s.wire.Cut(false, false) })
+							time.AfterFunc(300*time.Millisecond, func() { s.wire.Cut(false, false) })
 						}
 					}
 					s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
@@ -299,7 +303,6 @@
 						t.Errorf("in doubt though the link came back")
 					}
 					// What was left behind may still come: it must not run once "never" has been said.
-					s.wire.CutAfter(-1<<32, false, false)
 					s.wire.Cut(false, false)
 					if how == core.CrossedNever {
 						time.Sleep(200 * time.Millisecond)
@@ -373,6 +376,64 @@
 	}
 }
 
+// One that stalls blocks no other: each has a stream of its own.
+func TestStalledBlocksNone(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	began, let := make(chan struct{}), make(chan struct{})
+	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+		close(began)
+		<-let
+		return ledger.Done, okText
+	})
+	first := s.offer(request("order", testkit.Patient), decide.Unsafe)
+	ended := make(chan core.Crossed, 1)
+	go func() { _, how := first.Cross(t.Context()); ended <- how }()
+	<-began
+	s.answer(answerOK)
+	for range 20 {
+		if _, how := s.offer(request("order", testkit.Patient), decide.Unsafe).Cross(t.Context()); how != core.CrossedServed {
+			t.Errorf("%v beside one that stalls", how)
+		}
+	}
+	if len(ended) > 0 {
+		t.Error("the stalled one has ended")
+	}
+	close(let)
+	if how := <-ended; how != core.CrossedServed {
+		t.Errorf("the stalled one: %v", how)
+	}
+}
+
+// A site is removed while a hand-off to it is out: that one is answered, and nothing new crosses.
+func TestRemovedWithOneOut(t *testing.T) {
+	t.Parallel()
+	s := newSites(t)
+	began, let := make(chan struct{}), make(chan struct{})
+	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+		close(began)
+		<-let
+		return ledger.Done, okText
+	})
+	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
+	go func() {
+		<-began
+		none := *s.near.Get()
+		none.Peers = nil
+		s.near.Set(&none)
+		for s.dialer.Views()[0].Up {
+			time.Sleep(time.Millisecond)
+		}
+		if s.dialer.Offer(request("order", testkit.Patient), decide.Unsafe, false) != nil {
+			t.Error("a new one crosses")
+		}
+		close(let)
+	}()
+	if _, how := c.Cross(t.Context()); how != core.CrossedServed {
+		t.Errorf("%v", how)
+	}
+}
+
 // A client that goes takes its hand-off with it.
 func TestClientGone(t *testing.T) {
 	t.Parallel()
@@ -425,7 +486,7 @@
 	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
 		close(began)
 		<-let
-		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return ledger.Done, okText
 	})
 	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
 	old := *s.near.Get()
@@ -442,9 +503,7 @@
 	if _, how := c.Cross(t.Context()); how != core.CrossedServed {
 		t.Errorf("%v", how)
 	}
-	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
-		return ledger.Done, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-	})
+	s.answer(answerOK)
 	for keeper, good := range map[*Keeper]bool{s.near: true, NewKeeper(&old): false} {
 		d, err := NewDialer(DialerOptions{Keeper: keeper, Log: testkit.Quiet})
 		if err != nil {
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -220,3 +220,19 @@
 	}
 	return v
 }
+
+// Accounted judges a run whose clients' logs are whole: what a server has been sent is some client's try: nothing is made up on the way, and no log is short.
+func Accounted(e Evidence) Verdict {
+	v := Verdict{Promise: "what servers are sent is a client's try"}
+	tries := map[string]bool{}
+	for _, a := range e.Answers {
+		tries[a.ID] = true
+	}
+	for _, x := range e.Executions {
+		v.Seen++
+		if !tries[x.ID] {
+			v.fault("%s: %s %s, which no client has sent", x.Server, x.Class, x.ID)
+		}
+	}
+	return v
+}
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -117,3 +117,16 @@
 	}
 	panic("no such execution")
 }
+
+// An execution that no client asked for is seen.
+func TestAccounted(t *testing.T) {
+	e := Evidence{Answers: []Answer{{ID: "a.0"}, {ID: "a.1"}}, Executions: []Execution{execution("s1", 1), execution("s1", 2)}}
+	e.Executions[0].ID, e.Executions[1].ID = "a.0", "a.1"
+	if v := Accounted(e); v.Count != 0 || v.Seen != 2 {
+		t.Error(v)
+	}
+	e.Executions[1].ID = "a.2"
+	if v := Accounted(e); v.Count != 1 {
+		t.Error(v)
+	}
+}
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -33,7 +33,8 @@
 
 const (
 	wireBuffer = 2048
-	wireFlows  = 256 // near sockets at once; more are not carried
+	disarmed   = -1 << 40 // no CutAfter is under way
+	wireFlows  = 256      // near sockets at once; more are not carried
 )
 
 // NewWire carries datagrams to a UDP address of the far side, until Close.
@@ -47,7 +48,7 @@
 		return nil, err
 	}
 	w := &Wire{Addr: front.LocalAddr().String(), front: front, to: far, done: make(chan struct{}), flows: map[string]*net.UDPConn{}}
-	w.left.Store(-1 << 32)
+	w.left.Store(disarmed)
 	w.work.Go(w.run)
 	return w, nil
 }
@@ -59,7 +60,9 @@
 func (w *Wire) Loss(perMille int) { w.loss.Store(int64(perMille)) }
 
 // Cut stops what goes to the far side, to the near side, or both; with neither, the wire is whole again.
+// It ends a CutAfter that is under way.
 func (w *Wire) Cut(toFar, toNear bool) {
+	w.left.Store(disarmed)
 	w.toFar.Store(toFar)
 	w.toNear.Store(toNear)
 }
