Full answers that were out at once back off once, not once each

A trace of the module in the node: four of nine servers blocking by an imposed mode, with nothing out at them, answers within 60 ms and modes by their own count normal; 48 full answers in 5 s, several of them at one moment. Ruled out: suspects (none then), the node itself (own delay 0), thresholds (H 1 to 3 with n = 0).

At fault in judge(): each full answer doubled the back-off, also those to attempts that were out together, so that one moment blocked a server for up to 16 s. Only a full answer to an attempt that was sent after the last one counts now.

TestBurstOfFullAnswersIsOne fails without it (23 sends where 60 are its share).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -449,10 +449,14 @@
 	switch e.Code {
 	case Cancelled, Moot:
 	case Full:
-		// Full answers in a row back off: many nodes that each come back after one validity keep a jam alive.
-		m.impose(s, Blocking)
-		s.imposedUntil += m.jitter(s.backoff)
-		s.unanswered, s.backoff = 0, min(max(2*s.backoff, validity), trialLast)
+		// Full answers in a row back off: many nodes that each come back after one validity keep a jam alive. What
+		// was out already when the first of them came is the same news again.
+		s.unanswered = 0
+		if m.now-e.Elapsed >= s.fullAt {
+			m.impose(s, Blocking)
+			s.imposedUntil += m.jitter(s.backoff)
+			s.fullAt, s.backoff = m.now, min(max(2*s.backoff, validity), trialLast)
+		}
 	case OK:
 		s.brisk = s.brisk*decay(m.now-s.rateAt, briskTau) + 1
 		s.rate, s.rateAt, s.unanswered = s.rate*decay(m.now-s.rateAt, rateTau)+1/rateTau, m.now, 0
--- a/decide/state.go
+++ b/decide/state.go
@@ -36,6 +36,7 @@
 	chosen, seen        int  // the last choice of a subset, and the last whole list, that it was in
 	trialAt, coldSince  Time
 	trialWait, backoff  time.Duration // backoff: added to a block after full answers in a row
+	fullAt              Time          // the last of those that counted
 	room                float64       // requests that it has made room for by answering calmly; fades from roomAt on
 	roomAt              Time
 	tokens              float64 // sends that its budget allows while cold
--- a/decide/suspects_test.go
+++ b/decide/suspects_test.go
@@ -150,3 +150,26 @@
 		t.Errorf("%d of 600 sends went to the half of the servers that breaks off no more", sent)
 	}
 }
+
+// Eight requests that are turned away at one moment are one piece of news: the server is back in use soon after, and not after
+// a wait that has doubled eight times.
+func TestBurstOfFullAnswersIsOne(t *testing.T) {
+	r := tightRig(t, 4)
+	full := r.now + 100*time.Millisecond
+	r.delay = func(id decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		if id == 2 && r.now < full {
+			return full - r.now, decide.Full
+		}
+		return 75 * time.Millisecond, decide.OK
+	}
+	r.run(100*time.Millisecond, 400, "booking")
+	if r.sent[2] < 4 {
+		t.Fatalf("%d were out at the server", r.sent[2])
+	}
+	r.run(2*time.Second, 80, "booking")
+	r.reset()
+	r.run(3*time.Second, 80, "booking")
+	if r.sent[2] < 30 {
+		t.Errorf("%d of 240 sends went to a server that was full for a moment, 2 s before", r.sent[2])
+	}
+}
