Nodes of a site tell one another that it is short; links that refuse or are throttled, in the rig

A node that refuses a request of its own for its servers' sake says so to the site's other nodes, at most four times a second, where a gateway file is given and datagrams are allowed; one that hears it takes no foreign work for a validity.

--- a/cmd/rig/child.go
+++ b/cmd/rig/child.go
@@ -182,6 +182,7 @@
 	coldFrom          float64
 	coldTime          time.Duration
 	listen, zone      string
+	peers             []string // UDP, one for each node of the tier; none: nodes do not talk
 	args              []string
 }
 
@@ -210,7 +211,12 @@
 		"max_retry_after_ns": 2 * time.Second, "conn_idle_ns": 30 * time.Second}
 	rules := object{"answer_slack_ns": 20 * time.Millisecond, "ask_within_ns": 10 * time.Second, "cold_from": o.coldFrom, "cold_ns": o.coldTime,
 		"drain_grace_ns": 500 * time.Millisecond, "overload_factor": 2.5, "tip_after_ns": time.Second}
+	peerListen := ""
+	if len(o.peers) > 0 {
+		peerListen, caps["peers"] = o.peers[o.self], true
+	}
 	raw, err := json.MarshalIndent(object{"name": o.name, "listen": o.listen, "discovery": o.registry, "seed": "5f3759df5f3759df",
+		"peer_listen": peerListen, "peers": o.peers,
 		"limits": object{"cores": 1.0, "memory_mb": o.memoryMB, "sockets": o.sockets},
 		"settings": object{"balancers": max(1, o.nodes), "slot_no": o.self, "zone": o.zone, "failure_domains": []string{o.zone}, "caps": caps,
 			"classes": classes, "membership_mode": "on_request", "tick_ns": 5 * time.Millisecond, "weight_kind": "none",
--- a/decide/api.go
+++ b/decide/api.go
@@ -78,6 +78,7 @@
 	MayCancel      bool          // CancelAttempt is allowed
 	MayProbe       bool          // Probe is allowed
 	MayMessage     bool          // SendMessage is allowed
+	TellShort      bool          // nodes of a site tell one another that they are short: where other sites hand work over
 	HoldOffs       bool          // clients are told Refuse.HoldOff
 	MaxHoldOff     time.Duration // the longest hold-off that clients follow
 	MarksRepeats   bool          // clients mark their repeats
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -69,6 +69,9 @@
 	sweepMost   = 1024
 	spareMost   = 256 // servers looked at for what is spare
 	atOnce      = 512 // servers: a subset up to this size follows a change of the list at once
+
+	shortEvery = validity / 4 // between two words to the site's other nodes that this one is short
+	shortWord  = "short"      // such a datagram
 )
 
 // NextMode is the paper's hysteresis, at its exact edges.
@@ -121,6 +124,10 @@
 		if r := m.requests[e.ID]; r != nil && !r.done {
 			m.close(r)
 		}
+	case MessageReceived:
+		if string(e.Data) == shortWord && e.From != m.set.Self {
+			m.heardShortAt = m.now
+		}
 	case TimerFired:
 		m.tick()
 		m.do(timer)
@@ -678,6 +685,7 @@
 	if !m.send(r, s, r.deadline) {
 		if !r.foreign {
 			m.shortAt = m.now
+			m.tellShort()
 		}
 		m.finish(r, ByServers)
 	}
@@ -700,7 +708,22 @@
 	return math.Max(0, math.Max(lowPart*h, least)-math.Max(n, s.n))
 }
 
-func (m *Module) short() bool { return m.shortAt > 0 && m.now-m.shortAt < validity }
+// short tells whether this site has refused a request of its own for its servers' sake within a validity, at
+// this node or at one that has said so.
+func (m *Module) short() bool {
+	at := max(m.shortAt, m.heardShortAt)
+	return at > 0 && m.now-at < validity
+}
+
+// tellShort tells the site's other nodes. Clients may all use one node, and another that refuses nobody would
+// take foreign work to the servers that the first one lacks. A word that is lost is said again with the next
+// refusal; a forged one only keeps foreign work out.
+func (m *Module) tellShort() {
+	if m.set.TellShort && m.set.MayMessage && m.now-m.toldShortAt >= shortEvery {
+		m.toldShortAt = m.now
+		m.do(SendMessage{ToAll: true, Data: []byte(shortWord)})
+	}
+}
 
 // Headroom is the number of requests more that this node may have at its servers while each stays normal
 // and under L: what other sites may be told of. It looks at a sample where there are many.
--- a/decide/foreign_test.go
+++ b/decide/foreign_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -61,3 +62,61 @@
 		})
 	}
 }
+
+// A node that nobody asks hears that another of its site refuses the site's own requests, and takes nothing from elsewhere
+// until that is over. Words are few, and there are none where no other site hands work over.
+func TestShortNodesTellTheOthers(t *testing.T) {
+	settings := func(self int, tell bool) Settings {
+		s := oneNode()
+		s.Nodes, s.Self, s.MayMessage, s.TellShort = 2, self, true, tell
+		return s
+	}
+	say := func(tell bool) (words []SendMessage) {
+		m := New(settings(0, tell), 7) // it knows no server, and refuses all
+		for i := range 500 {
+			for _, a := range m.Handle(time.Hour+Time(i)*time.Millisecond, RequestArrived{ID: RequestID(fmt.Sprint(i)), Class: "dear", Patience: time.Second}) {
+				if w, ok := a.(SendMessage); ok {
+					words = append(words, w)
+				}
+			}
+		}
+		return words
+	}
+	words := say(true)
+	if len(words) != 2 || !words[0].ToAll {
+		t.Fatalf("%d words in half a second of refusals: %+v", len(words), words)
+	}
+	if n := len(say(false)); n > 0 {
+		t.Errorf("%d words where nobody is to be told", n)
+	}
+
+	v := newVirtual(settings(1, true), 8)
+	v.work = func(ServerID, string) time.Duration { return 4 * time.Millisecond }
+	v.open(200, 10*time.Second, always("cheap"))
+	v.run(3 * time.Second)
+	taken := func() bool {
+		ok := false
+		v.next++
+		id := RequestID(fmt.Sprint("dear ", v.next, " from elsewhere"))
+		v.done[id] = func(served bool) { ok = served }
+		v.feed(RequestArrived{ID: id, Class: "dear", Patience: 2 * time.Second, Foreign: true})
+		v.run(500 * time.Millisecond)
+		return ok
+	}
+	if v.m.Headroom(v.now) == 0 || !taken() {
+		t.Fatal("nothing taken with room to spare")
+	}
+	v.feed(MessageReceived{From: 0, Data: []byte("something else")})
+	v.feed(MessageReceived{From: 1, Data: words[0].Data}) // its own, perhaps by way of the address of all
+	if !taken() {
+		t.Error("a datagram that says nothing keeps work out")
+	}
+	v.feed(MessageReceived{From: 0, Data: words[0].Data})
+	if v.m.Headroom(v.now) > 0 || taken() {
+		t.Error("foreign work taken while another node of the site is short")
+	}
+	v.run(time.Second)
+	if v.m.Headroom(v.now) == 0 || !taken() {
+		t.Error("nothing taken a second after the last word")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -87,6 +87,8 @@
 	rng                uint64
 	now, periodAt      Time
 	shortAt            Time // when an own request was last refused on its arrival for the servers' sake
+	heardShortAt       Time // when another node of the site last said that it did so; when this one said so
+	toldShortAt        Time
 	out                []Action
 	classes            map[string]*class
 	order              []*class
@@ -263,3 +265,14 @@
 func (m *Module) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + m.random()))
 }
+
+// Census is how many servers of the subset are in each mode, as each was last looked at; Apart are suspects, and cold ones
+// whose budget is spent.
+type Census struct{ Normal, Overloaded, Blocking, Apart int }
+
+// Census counts them. It changes nothing.
+func (m *Module) Census() Census {
+	c := Census{Normal: len(m.pools[Normal].list), Overloaded: len(m.pools[Overloaded].list), Blocking: len(m.pools[Blocking].list)}
+	c.Apart = max(0, len(m.near)-c.Normal-c.Overloaded-c.Blocking)
+	return c
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -64,7 +64,9 @@
 		}
 		defer g.close()
 	}
-	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: c.Settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, log),
+	settings := c.Settings
+	settings.TellShort = g != nil
+	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, log),
 		Messenger: messenger, Log: log})
 	if err != nil {
 		tcp.Close()
--- /dev/null
+++ b/internal/standin/wire_test.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func echoWire(t *testing.T) (*Wire, *net.UDPConn) {
+	t.Helper()
+	echo, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		buf := make([]byte, wireBuffer)
+		for {
+			n, from, err := echo.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			echo.WriteTo(buf[:n], from)
+		}
+	}()
+	w, err := NewWire(echo.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("udp", w.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); w.Close(); echo.Close() })
+	return w, c.(*net.UDPConn)
+}
+
+// trip sends a datagram until it comes back, or an error does.
+func trip(c *net.UDPConn) error {
+	buf := make([]byte, wireBuffer)
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); {
+		if _, err := c.Write([]byte("there and back")); err != nil {
+			return err
+		}
+		c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		_, err := c.Read(buf)
+		if err == nil || !isTimeout(err) {
+			return err
+		}
+	}
+	return errors.New("nothing came back")
+}
+
+// A wire that is shut refuses, which a silent one does not, and carries again once it is open.
+func TestWireShutRefuses(t *testing.T) {
+	t.Parallel()
+	w, c := echoWire(t)
+	if err := trip(c); err != nil {
+		t.Fatal(err)
+	}
+	w.Shut()
+	if err := trip(c); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("shut: %v, want a refusal", err)
+	}
+	if err := w.Reopen(); err != nil {
+		t.Fatal(err)
+	}
+	err := trip(c)
+	for range 10 { // a refusal of before may still be told
+		if err == nil {
+			break
+		}
+		err = trip(c)
+	}
+	if err != nil {
+		t.Errorf("open again: %v", err)
+	}
+}
+
+// A throttled wire carries so much, holds so much, and loses the rest.
+func TestWireThrottled(t *testing.T) {
+	t.Parallel()
+	w, c := echoWire(t)
+	if err := trip(c); err != nil {
+		t.Fatal(err)
+	}
+	w.Throttle(10_000) // 3 kB, 3 datagrams, fit into its queue
+	for range 40 {
+		c.Write(make([]byte, 1000))
+	}
+	for deadline := time.Now().Add(10 * time.Second); w.Overflowed() < 20 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := w.Overflowed(); n < 20 {
+		t.Errorf("%d of 40 lost", n)
+	}
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, err := c.Read(make([]byte, wireBuffer)); n != 1000 {
+		t.Errorf("%d bytes came back, %v", n, err)
+	}
+	w.Throttle(0)
+	if err := trip(c); err != nil {
+		t.Errorf("at full speed again: %v", err)
+	}
+}
