--- /dev/null
+++ b/cmd/rehearse/journal.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"starlingvalve/internal/experiment"
+)
+
+// journal keeps pairs as JSON lines behind a first line that says of what plan they are. A last line that is cut is thrown away.
+type journal struct {
+	file  *os.File
+	pairs []experiment.Pair
+}
+
+type journalHead struct {
+	Plan     string   `json:"plan"` // a hash of all files and names that the runs depend on
+	Measures []string `json:"measures"`
+}
+
+// openJournal opens or makes a journal of a plan that depends on these names and, where they are files, on their texts.
+func openJournal(path string, names, measures []string) (*journal, error) {
+	h := xxhash.New()
+	for _, n := range names {
+		fmt.Fprintf(h, "%q\n", n)
+		if text, err := os.ReadFile(n); err == nil {
+			h.Write(text)
+		}
+	}
+	want := journalHead{fmt.Sprintf("%016x", h.Sum64()), measures}
+	raw, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, err
+	}
+	j := &journal{}
+	whole := 0
+	lines := bufio.NewScanner(bytes.NewReader(raw))
+	lines.Buffer(nil, 1<<20)
+	for n := 1; lines.Scan(); n++ {
+		end := whole + len(lines.Bytes()) + 1
+		if end > len(raw) {
+			break // cut: it has no end of line
+		}
+		if n == 1 {
+			var head journalHead
+			if err := json.Unmarshal(lines.Bytes(), &head); err != nil || head.Plan != want.Plan || !slices.Equal(head.Measures, want.Measures) {
+				return nil, fmt.Errorf("%s:1: this is of another scenario or other versions; name another file", path)
+			}
+		} else {
+			var p experiment.Pair
+			if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
+				return nil, fmt.Errorf("%s:%d: %w", path, n, err)
+			}
+			j.pairs = append(j.pairs, p)
+		}
+		whole = end
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if j.file, err = os.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o666); err != nil {
+		return nil, err
+	}
+	if err := j.file.Truncate(int64(whole)); err != nil {
+		return nil, err
+	}
+	if _, err := j.file.Seek(int64(whole), 0); err != nil {
+		return nil, err
+	}
+	if whole == 0 {
+		return j, j.line(want)
+	}
+	return j, nil
+}
+
+func (j *journal) add(p experiment.Pair) error { return j.line(p) }
+
+func (j *journal) line(v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	_, err = j.file.Write(append(raw, '\n'))
+	return err
+}
+
+// Close closes the file.
+func (j *journal) Close() error { return j.file.Close() }
--- /dev/null
+++ b/cmd/rehearse/main.go
@@ -0,0 +1,249 @@
+// Command rehearse compares two versions of the decisions, of the settings or of the fleet in the model, with error bars.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"starlingvalve/internal/experiment"
+	"starlingvalve/internal/model"
+	"starlingvalve/internal/report"
+)
+
+// Exit codes.
+const (
+	exitFault     = 1 // a file, a flag, or the disk
+	exitDifferent = 3 // -gate: b is worse
+)
+
+var errWorse = errors.New("b is worse")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := command(os.Stdout, os.Stderr).ExecuteContext(ctx)
+	switch {
+	case errors.Is(err, errWorse):
+		os.Exit(exitDifferent)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "rehearse:", err)
+		os.Exit(exitFault)
+	}
+}
+
+type options struct {
+	a, b, json, html, resume string
+	width                    float64
+	pairs, runs, workers     int
+	budget                   time.Duration
+	seed                     uint64
+	gate                     bool
+	policies                 []string
+	loads                    []float64
+	out, progress            io.Writer
+}
+
+func command(out, progress io.Writer) *cobra.Command {
+	o := &options{out: out, progress: progress}
+	root := &cobra.Command{Use: "rehearse", Short: "Compare two versions in a model of the fleet, with error bars", SilenceErrors: true, SilenceUsage: true}
+	compare := &cobra.Command{Use: "compare SCENARIO", Short: "Play pairs of runs until the interval is narrow enough", Args: cobra.ExactArgs(1),
+		Long: "Plays SCENARIO with two versions, a and b: each a policy (see rehearse policies) or a version file (*.toml).\n" +
+			"Exit status 0; 1 if a file or a flag is at fault; 3 with --gate if b is worse.",
+		RunE: func(c *cobra.Command, args []string) error { return o.compare(c.Context(), args[0]) }}
+	f := compare.Flags()
+	f.StringVarP(&o.a, "a", "a", "module", "one version: a `POLICY` or a version file")
+	f.StringVarP(&o.b, "b", "b", "", "the other version")
+	f.Float64Var(&o.width, "width", 0.005, "half-width of the interval of worth that is to be reached")
+	f.IntVar(&o.pairs, "pairs", 400, "pairs at most")
+	f.DurationVar(&o.budget, "budget", 2*time.Minute, "time at most, as foreseen from the first ten pairs; 0: any")
+	f.Uint64Var(&o.seed, "seed", 1, "of the first pair")
+	f.IntVar(&o.workers, "workers", 0, "runs at once; 0: one a core")
+	f.StringVar(&o.json, "json", "", "write the figures to this `FILE`")
+	f.StringVar(&o.html, "html", "", "write a page with plots to this `FILE`")
+	f.StringVar(&o.resume, "resume", "", "keep the pairs in this `FILE`, and go on from those in it")
+	f.BoolVar(&o.gate, "gate", false, "exit with status 3 if b is worse")
+	compare.MarkFlagRequired("b")
+
+	curve := &cobra.Command{Use: "curve SCENARIO", Short: "Worth against load for several policies", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error { return o.curve(c.Context(), args[0]) }}
+	f = curve.Flags()
+	f.StringSliceVar(&o.policies, "policies", names(), "policies")
+	f.Float64SliceVar(&o.loads, "loads", []float64{0.5, 1, 1.5, 2, 3}, "times the scenario's load")
+	f.IntVar(&o.runs, "runs", 8, "runs of each")
+	f.Uint64Var(&o.seed, "seed", 1, "of the first run")
+	f.IntVar(&o.workers, "workers", 0, "runs at once; 0: one a core")
+	f.StringVar(&o.json, "json", "", "write the figures to this `FILE`")
+	f.StringVar(&o.html, "html", "", "write a page with plots to this `FILE`")
+
+	root.AddCommand(compare, curve,
+		&cobra.Command{Use: "policies", Short: "List what can decide, and where it comes from", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			for _, p := range model.Policies() {
+				fmt.Fprintf(out, "%-14s %s\n", p.Name, p.Source)
+			}
+			fmt.Fprintln(out, "\nA baseline takes +retry (Envoy's retry budget) and +eject (its outlier ejection) behind its name.")
+			return nil
+		}},
+		&cobra.Command{Use: "check FILE...", Short: "Check scenario and version files", Args: cobra.MinimumNArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			for _, path := range args {
+				if err := check(path); err != nil {
+					return err
+				}
+				fmt.Fprintf(out, "%s: good\n", path)
+			}
+			return nil
+		}})
+	return root
+}
+
+func names() (list []string) {
+	for _, p := range model.Policies() {
+		list = append(list, p.Name)
+	}
+	return list
+}
+
+// check takes a file that is a scenario or, if it is none and is one, a version.
+func check(path string) error {
+	_, err := model.LoadScenario(path)
+	if err == nil {
+		return nil
+	}
+	if _, second := model.FindVersion(path); second == nil && strings.HasSuffix(path, ".toml") {
+		return nil
+	}
+	return err
+}
+
+func (o *options) compare(ctx context.Context, path string) error {
+	sc, err := model.LoadScenario(path)
+	if err != nil {
+		return err
+	}
+	var sides [2]*model.Scenario
+	for i, name := range []string{o.a, o.b} {
+		v, err := model.FindVersion(name)
+		if err != nil {
+			return err
+		}
+		sides[i] = v.Of(sc, [...]string{"a", "b"}[i])
+	}
+	values := func(sc *model.Scenario) func(uint64) []float64 {
+		return func(seed uint64) []float64 {
+			if ctx.Err() != nil { // the pair is thrown away
+				return make([]float64, len(sc.Measures()))
+			}
+			return model.PlayFull(sc, seed).Values()
+		}
+	}
+	plan := experiment.Plan{Measures: sc.Measures(), A: values(sides[0]), B: values(sides[1]), Width: o.width, Most: o.pairs, Budget: o.budget, First: o.seed, Workers: o.workers,
+		Progress: func(done, wanted int) { fmt.Fprintf(o.progress, "\r%d of %d pairs ", done, wanted) }}
+	if o.resume != "" {
+		j, err := openJournal(o.resume, append([]string{path}, o.a, o.b), sc.Measures())
+		if err != nil {
+			return err
+		}
+		defer j.Close()
+		plan.Known = j.pairs
+		plan.Keep = func(p experiment.Pair) error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return j.add(p)
+		}
+	}
+	r, err := experiment.Run(ctx, plan)
+	fmt.Fprintln(o.progress)
+	if err != nil {
+		return err
+	}
+	c := &report.Comparison{Scenario: strings.TrimSuffix(filepath.Base(path), ".toml"), A: o.a, B: o.b, Seed: o.seed, Width: o.width, Wanted: r.Wanted, Intervals: r.Intervals}
+	if err := c.Text(o.out); err != nil {
+		return err
+	}
+	if o.html != "" {
+		for i, side := range sides {
+			c.Timelines[i] = model.PlayFull(side, o.seed).Timeline
+		}
+	}
+	if err := o.write(c); err != nil {
+		return err
+	}
+	if o.gate && c.Intervals[0].High < 0 {
+		return errWorse
+	}
+	return nil
+}
+
+func (o *options) curve(ctx context.Context, path string) error {
+	sc, err := model.LoadScenario(path)
+	if err != nil {
+		return err
+	}
+	curve := &report.Curve{Loads: o.loads, Names: o.policies, Lines: map[string][]report.Estimate{}}
+	fmt.Fprintf(o.out, "%-24s", "worth in time")
+	for _, load := range o.loads {
+		if !(load > 0 && load <= 10) {
+			return fmt.Errorf("--loads: want over 0 and 10 at most, have %v", load)
+		}
+		fmt.Fprintf(o.out, "%8.2f", load)
+	}
+	fmt.Fprintln(o.out)
+	for _, name := range o.policies {
+		v, err := model.FindVersion(name)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(o.out, "%-24s", name)
+		for _, load := range o.loads {
+			side := v.Of(sc.Scaled(load), "a")
+			e, err := estimate(ctx, side, o)
+			if err != nil {
+				return err
+			}
+			curve.Lines[name] = append(curve.Lines[name], e)
+			fmt.Fprintf(o.out, "%8.3f", e.Mean)
+		}
+		fmt.Fprintln(o.out)
+	}
+	return o.write(&report.Comparison{Scenario: strings.TrimSuffix(filepath.Base(path), ".toml"), Seed: o.seed, Curve: curve})
+}
+
+// estimate gives worth in time over some runs: the difference from nothing, with its interval.
+func estimate(ctx context.Context, sc *model.Scenario, o *options) (report.Estimate, error) {
+	r, err := experiment.Run(ctx, experiment.Plan{Measures: []string{"worth in time"}, First: o.seed, Pilot: max(2, o.runs), Most: max(2, o.runs), Width: 1, Workers: o.workers,
+		A: func(uint64) []float64 { return []float64{0} }, B: func(seed uint64) []float64 { return []float64{model.Play(sc, seed).Worth()} }})
+	if err != nil {
+		return report.Estimate{}, err
+	}
+	i := r.Intervals[0]
+	return report.Estimate{Mean: i.Mean, Low: i.Low, High: i.High}, nil
+}
+
+func (o *options) write(c *report.Comparison) error {
+	for _, f := range []struct {
+		path  string
+		write func(io.Writer) error
+	}{{o.json, c.JSON}, {o.html, c.HTML}} {
+		if f.path == "" {
+			continue
+		}
+		to, err := os.Create(f.path)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(f.write(to), to.Close()); err != nil {
+			return fmt.Errorf("%s: %w", f.path, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/rehearse/main_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const scenario = `length = "3s"
+load = 1.2
+nodes = 1
+hop = "1ms"
+retries = 1
+node_cost = "30us"
+registry_lag = "1s"
+[[class]]
+name = "read"
+share = 1.0
+worth = 1.0
+work = "20ms"
+work_cv = 0.5
+aim = "200ms"
+patience = "1s"
+wait = "50ms"
+effect = "safe"
+[[servers]]
+count = 3
+zone = "hall-a"
+cores = 2
+speed = 1.0
+room = 40
+cold_from = 0.5
+cold_time = "1s"
+`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func run(t *testing.T, args ...string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	c := command(&out, io.Discard)
+	c.SetArgs(args)
+	err := c.ExecuteContext(t.Context())
+	return out.String(), err
+}
+
+// A run that broke off goes on to the same figures as one that did not; what was cut in its file is played again.
+func TestCompareResumes(t *testing.T) {
+	sc, slow := write(t, "s.toml", scenario), write(t, "slow.toml", "[fleet]\nspeed = 0.8\n")
+	kept, html := filepath.Join(t.TempDir(), "pairs"), filepath.Join(t.TempDir(), "r.html")
+	args := []string{"compare", sc, "-b", slow, "--pairs", "12", "--width", "0.001"}
+	whole, err := run(t, append(args, "--resume", kept, "--html", html)...)
+	if err != nil || !strings.Contains(whole, "b is worse") {
+		t.Fatalf("%v: %s", err, whole)
+	}
+	if page, err := os.ReadFile(html); err != nil || !bytes.Contains(page, []byte("<svg")) {
+		t.Errorf("no page: %v", err)
+	}
+	raw, err := os.ReadFile(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := bytes.SplitAfter(raw, []byte("\n"))
+	if len(lines) != 14 { // the head, 12 pairs, and nothing behind the last end of line
+		t.Fatalf("%d lines", len(lines))
+	}
+	cut := append(bytes.Join(lines[:5], nil), lines[5][:9]...)
+	if err := os.WriteFile(kept, cut, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again, err := run(t, append(args, "--resume", kept)...)
+	if err != nil || again != whole {
+		t.Errorf("%v\n%s\nwant\n%s", err, again, whole)
+	}
+	if _, err := run(t, "compare", sc, "-b", "random", "--resume", kept); err == nil || !strings.Contains(err.Error(), "of another scenario or other versions") {
+		t.Errorf("other versions: %v", err)
+	}
+	if _, err := run(t, append(args, "--gate")...); !errors.Is(err, errWorse) {
+		t.Errorf("--gate: %v", err)
+	}
+}
+
+func TestCommands(t *testing.T) {
+	sc, slow := write(t, "s.toml", scenario), write(t, "slow.toml", "[fleet]\nspeed = 0.8\n")
+	if out, err := run(t, "check", sc, slow); err != nil || strings.Count(out, "good") != 2 {
+		t.Errorf("%v: %s", err, out)
+	}
+	if out, err := run(t, "policies"); err != nil || !strings.Contains(out, "peak-ewma") {
+		t.Errorf("%v: %s", err, out)
+	}
+	if out, err := run(t, "curve", sc, "--policies", "module,least-request", "--loads", "0.5,2", "--runs", "2"); err != nil || strings.Count(out, "\n") != 3 {
+		t.Errorf("%v: %s", err, out)
+	}
+	for want, args := range map[string][]string{
+		"s.toml:3: nodes":          {"check", write(t, "s.toml", strings.Replace(scenario, "nodes = 1", "nodes = 0", 1))},
+		"there are module":         {"compare", sc, "-b", "best"},
+		"--loads":                  {"curve", sc, "--loads", "0"},
+		`required flag(s) "b" not`: {"compare", sc},
+		"want a confidence":        {"compare", sc, "-b", "random", "--width", "0"},
+	} {
+		if _, err := run(t, args...); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: %v, want %q", args, err, want)
+		}
+	}
+}
--- a/cmd/rig/rehearse.go
+++ b/cmd/rig/rehearse.go
@@ -54,8 +54,8 @@
 		for _, other := range []struct {
 			name   string
 			change func(*model.Scenario)
-		}{{"random", func(c *model.Scenario) { c.Make = model.Random(len(c.Servers)) }},
-			{"least-of-two", func(c *model.Scenario) { c.Make = model.LeastOfTwo(len(c.Servers)) }}} {
+		}{{"random", func(c *model.Scenario) { c.Policy = model.Random() }},
+			{"least-of-two", func(c *model.Scenario) { c.Policy = model.LeastOfTwo() }}} {
 			i, err := experiment.Compare(worth(with(other.change)), worth(ours), o.seed, pairs, 0.95)
 			if err != nil {
 				return err
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -3,19 +3,27 @@
 package experiment
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
+	"runtime"
+	"sync"
+	"time"
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
-// Interval is the mean of the paired differences b - a and its confidence interval (Student's t).
+// Interval is the mean of the paired differences b - a of one measure and its confidence interval (Student's t).
 type Interval struct {
+	Name            string `json:"measure"`
 	Mean, Low, High float64
 	Pairs           int
 	A, B            float64 // the versions' own means
+	// Smallest is the smallest difference that so many pairs see in four runs of five (a power of 0.8), by the spread that
+	// they have shown.
+	Smallest float64
 }
 
 // Covers tells whether a difference lies within the interval.
@@ -28,19 +36,202 @@
 	return fmt.Sprintf("%+.4f (%+.4f to %+.4f) from %.4f to %.4f, %d pairs", i.Mean, i.Low, i.High, i.A, i.B, i.Pairs)
 }
 
-// Compare plays so many pairs (2 at least), of the seeds first, first+1, ..., and gives the interval of a confidence between 0 and
-// 1, such as 0.95. a and b give a run's measure and depend on nothing but the seed.
+// Plan is a comparison. All but Measures, A, B and Width have defaults.
+type Plan struct {
+	// Measures names what a run measures. The first is the main one, which decides how many pairs are played.
+	Measures []string
+	// A and B give a run's measures, in the order of their names. They depend on nothing but the seed, and are called from
+	// several goroutines at once.
+	A, B func(seed uint64) []float64
+	// Width is how far the main measure's interval is to reach to either side, at most.
+	Width float64
+	// Confidence is the intervals', between 0 and 1; 0: 0.95.
+	Confidence float64
+	// First is the seed of the first pair; the others follow it.
+	First uint64
+	// Pilot is the number of pairs of the first stage, 2 at least; 0: 10.
+	Pilot int
+	// Most bounds the pairs; 0: 1000. Where it, or Budget, is less than what Width wants, the interval is wider, and says so.
+	Most int
+	// Budget bounds the time, as far as the pilot lets it be foreseen; 0: none.
+	Budget time.Duration
+	// Workers is the number of runs at once; 0: one a core.
+	Workers int
+	// Known are pairs of an earlier run of the same plan that broke off: they are not played again.
+	Known []Pair
+	// Keep, if set, is called with each pair that is played, one at a time.
+	Keep func(Pair) error
+	// Progress, if set, is called after each pair, one at a time, with the pairs that there are and are wanted by now.
+	Progress func(done, wanted int)
+}
+
+// Pair is what the two versions measured with one seed.
+type Pair struct {
+	Seed uint64    `json:"seed"`
+	A    []float64 `json:"a"`
+	B    []float64 `json:"b"`
+}
+
+// Result is what came of a plan.
+type Result struct {
+	Intervals []Interval // in the order of the measures
+	Pairs     []Pair     // in the order of their seeds
+	Wanted    int        // pairs that Width wanted
+}
+
+// Enough tells whether the interval is as narrow as it was to be.
+func (r *Result) Enough() bool { return len(r.Pairs) >= r.Wanted }
+
+const (
+	usualPilot      = 10
+	usualMost       = 1000
+	usualConfidence = 0.95
+	power           = 0.8
+)
+
+// Run plays a plan. The number of pairs follows Stein's two-stage rule (Annals of Mathematical Statistics 16, 1945): the spread
+// of the pilot alone decides it, and the main measure's interval is made of that spread, so that stopping when the interval
+// is narrow does not make it narrower than it may be. A rule that looks again after each pair stops more often where the
+// spread looks small by chance. The other measures' intervals are those of so many pairs.
+func Run(ctx context.Context, p Plan) (*Result, error) {
+	p.Confidence = orUsual(p.Confidence, usualConfidence)
+	p.Pilot, p.Most, p.Workers = orUsual(p.Pilot, usualPilot), orUsual(p.Most, usualMost), orUsual(p.Workers, runtime.GOMAXPROCS(0))
+	switch {
+	case len(p.Measures) == 0 || p.A == nil || p.B == nil:
+		return nil, errors.New("experiment: want measures and two versions")
+	case p.Pilot < 2 || p.Most < p.Pilot:
+		return nil, fmt.Errorf("experiment: want a pilot of 2 pairs at least and as many at most, have %d and %d", p.Pilot, p.Most)
+	case !(p.Confidence > 0 && p.Confidence < 1) || !(p.Width > 0):
+		return nil, fmt.Errorf("experiment: want a confidence between 0 and 1 and a width over 0, have %v and %v", p.Confidence, p.Width)
+	}
+	began := time.Now()
+	pairs, err := p.play(ctx, nil, p.Pilot, p.Pilot)
+	if err != nil {
+		return nil, err
+	}
+	deviation := spread(pairs, 0)
+	t := quantile(0.5+p.Confidence/2, p.Pilot-1)
+	wanted := p.Pilot
+	if need := math.Pow(t*deviation/p.Width, 2); need > float64(wanted) {
+		wanted = int(math.Ceil(math.Min(need, math.MaxInt32)))
+	}
+	n := min(wanted, p.Most)
+	if took := time.Since(began); p.Budget > 0 && took > 0 {
+		n = max(p.Pilot, min(n, int(float64(p.Pilot)*float64(p.Budget)/float64(took))))
+	}
+	if pairs, err = p.play(ctx, pairs, n, n); err != nil {
+		return nil, err
+	}
+	r := &Result{Pairs: pairs, Wanted: wanted}
+	for i, name := range p.Measures {
+		d, degrees := deviation, p.Pilot-1
+		if i > 0 {
+			d, degrees = spread(pairs, i), len(pairs)-1
+		}
+		r.Intervals = append(r.Intervals, interval(name, pairs, i, d, degrees, p.Confidence))
+	}
+	return r, nil
+}
+
+func orUsual[T int | float64](v, usual T) T {
+	if v == 0 {
+		return usual
+	}
+	return v
+}
+
+// play plays pairs up to so many.
+func (p *Plan) play(ctx context.Context, pairs []Pair, upTo, wanted int) ([]Pair, error) {
+	known := map[uint64]Pair{}
+	for _, k := range p.Known {
+		if len(k.A) != len(p.Measures) || len(k.B) != len(p.Measures) {
+			return nil, fmt.Errorf("experiment: seed %d has %d and %d measures, want %d: it is of another plan", k.Seed, len(k.A), len(k.B), len(p.Measures))
+		}
+		known[k.Seed] = k
+	}
+	from := len(pairs)
+	pairs = append(pairs, make([]Pair, max(0, upTo-from))...)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var mu sync.Mutex
+	var failed error
+	done := from
+	next := make(chan int)
+	var work sync.WaitGroup
+	for range min(p.Workers, max(1, upTo-from)) {
+		work.Go(func() {
+			for i := range next {
+				seed := p.First + uint64(i)
+				pair, have := known[seed]
+				if !have {
+					pair = Pair{seed, p.A(seed), p.B(seed)}
+				}
+				mu.Lock()
+				pairs[i] = pair
+				done++
+				if !have && p.Keep != nil && failed == nil {
+					if failed = p.Keep(pair); failed != nil {
+						stop()
+					}
+				}
+				if p.Progress != nil {
+					p.Progress(done, wanted)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := from; i < upTo && ctx.Err() == nil; i++ {
+		select {
+		case next <- i:
+		case <-ctx.Done():
+		}
+	}
+	close(next)
+	work.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	return pairs, ctx.Err()
+}
+
+func differences(pairs []Pair, i int) (d, a, b []float64) {
+	for _, p := range pairs {
+		d, a, b = append(d, p.B[i]-p.A[i]), append(a, p.A[i]), append(b, p.B[i])
+	}
+	return d, a, b
+}
+
+func spread(pairs []Pair, i int) float64 {
+	d, _, _ := differences(pairs, i)
+	_, deviation := stat.MeanStdDev(d, nil)
+	return deviation
+}
+
+func quantile(q float64, degrees int) float64 {
+	return distuv.StudentsT{Sigma: 1, Nu: float64(degrees)}.Quantile(q)
+}
+
+func interval(name string, pairs []Pair, i int, deviation float64, degrees int, confidence float64) Interval {
+	d, a, b := differences(pairs, i)
+	mean, err := stat.Mean(d, nil), deviation/math.Sqrt(float64(len(d)))
+	t := quantile(0.5+confidence/2, degrees)
+	return Interval{Name: name, Mean: mean, Low: mean - t*err, High: mean + t*err, Pairs: len(d), A: stat.Mean(a, nil), B: stat.Mean(b, nil),
+		Smallest: (t + quantile(power, degrees)) * err}
+}
+
+// Compare plays so many pairs (2 at least), of the seeds first, first+1, ..., of one measure.
 func Compare(a, b func(seed uint64) float64, first uint64, pairs int, confidence float64) (Interval, error) {
+	one := func(f func(uint64) float64) func(uint64) []float64 {
+		return func(seed uint64) []float64 { return []float64{f(seed)} }
+	}
 	if pairs < 2 || !(confidence > 0 && confidence < 1) {
 		return Interval{}, errors.New("experiment: want 2 pairs at least and a confidence between 0 and 1")
 	}
-	var as, bs, differences []float64
-	for i := range pairs {
-		x, y := a(first+uint64(i)), b(first+uint64(i))
-		as, bs, differences = append(as, x), append(bs, y), append(differences, y-x)
+	r, err := Run(context.Background(), Plan{Measures: []string{""}, A: one(a), B: one(b), First: first, Pilot: pairs, Most: pairs, Width: math.MaxFloat64,
+		Confidence: confidence, Workers: 1})
+	if err != nil {
+		return Interval{}, err
 	}
-	mean, deviation := stat.MeanStdDev(differences, nil)
-	t := distuv.StudentsT{Sigma: 1, Nu: float64(pairs - 1)}.Quantile(0.5 + confidence/2)
-	half := t * deviation / math.Sqrt(float64(pairs))
-	return Interval{Mean: mean, Low: mean - half, High: mean + half, Pairs: pairs, A: stat.Mean(as, nil), B: stat.Mean(bs, nil)}, nil
+	return r.Intervals[0], nil
 }
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -1,7 +1,11 @@
 package experiment
 
 import (
+	"context"
+	"errors"
+	"math"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 )
 
@@ -44,3 +48,103 @@
 		}
 	}
 }
+
+// noisy gives a plan whose versions differ by shift with a deviation of 1, and a second measure that does not differ.
+func noisy(salt uint64, shift, width float64) Plan {
+	draw := func(seed, side uint64) float64 {
+		return rand.New(rand.NewPCG(seed, salt<<8+side)).NormFloat64() / math.Sqrt2
+	}
+	return Plan{Measures: []string{"main", "other"}, Width: width, First: 1, Workers: 1,
+		A: func(s uint64) []float64 { return []float64{10 + draw(s, 1), draw(s, 3)} },
+		B: func(s uint64) []float64 { return []float64{10 + shift + draw(s, 2), draw(s, 4)} }}
+}
+
+// The two-stage rule ends at the width that was asked for, and its intervals still cover the truth as often as they say. One that
+// stops as soon as the interval looks narrow covers it less often, which is shown beside it.
+func TestStoppingKeepsItsCoverage(t *testing.T) {
+	covered, wide, greedy := 0, 0, 0
+	const trials, width = 1000, 0.5
+	for trial := range uint64(trials) {
+		p := noisy(trial, 0.3, width)
+		r, err := Run(t.Context(), p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i := r.Intervals[0]; i.Covers(0.3) {
+			covered++
+		} else if i.High-i.Low > 2*width*1.0001 {
+			wide++
+		}
+		for n := 3; ; n++ { // looks after each pair from the third on
+			if i := interval("", r.more(p, n), 0, spread(r.more(p, n), 0), n-1, 0.95); i.High-i.Low <= 2*width {
+				if i.Covers(0.3) {
+					greedy++
+				}
+				break
+			}
+		}
+	}
+	if covered < trials*93/100 || wide > 0 {
+		t.Errorf("%d of %d intervals cover the truth, %d are too wide", covered, trials, wide)
+	}
+	if greedy >= covered {
+		t.Errorf("looking again after each pair covers %d of %d, two stages %d: this test shows nothing", greedy, trials, covered)
+	}
+}
+
+// more gives the first n pairs of a plan.
+func (r *Result) more(p Plan, n int) (pairs []Pair) {
+	for i := range n {
+		if i < len(r.Pairs) {
+			pairs = append(pairs, r.Pairs[i])
+			continue
+		}
+		seed := p.First + uint64(i)
+		pairs = append(pairs, Pair{seed, p.A(seed), p.B(seed)})
+	}
+	return pairs
+}
+
+// However many runs at once, and whether in one go or in two, the figures are the same; bounds are kept and told.
+func TestSameFiguresInAnyOrder(t *testing.T) {
+	one, err := Run(t.Context(), noisy(7, 0.1, 0.3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := noisy(7, 0.1, 0.3)
+	p.Workers = 8
+	var kept []Pair
+	p.Keep = func(x Pair) error {
+		kept = append(kept, x)
+		if len(kept) == 13 {
+			return errors.New("the disk is full")
+		}
+		return nil
+	}
+	if _, err := Run(t.Context(), p); err == nil || err.Error() != "the disk is full" {
+		t.Fatalf("a pair that can't be kept: %v", err)
+	}
+	played := 0
+	p.Known, p.Keep = kept[:12], func(Pair) error { played++; return nil }
+	two, err := Run(t.Context(), p)
+	if err != nil || !reflect.DeepEqual(one, two) {
+		t.Errorf("in one go %+v, in two %+v, %v", one.Intervals, two.Intervals, err)
+	}
+	if played != len(one.Pairs)-12 {
+		t.Errorf("%d played again of %d, 12 known", played, len(one.Pairs))
+	}
+	p.Known = []Pair{{1, []float64{1}, []float64{1}}}
+	if _, err := Run(t.Context(), p); err == nil {
+		t.Error("a pair of another plan is taken")
+	}
+	p = noisy(7, 0.1, 0.01)
+	p.Most = 15
+	if r, err := Run(t.Context(), p); err != nil || len(r.Pairs) != 15 || r.Enough() || r.Wanted < 1000 {
+		t.Errorf("bounded: %d pairs, %d wanted, %v", len(r.Pairs), r.Wanted, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := Run(ctx, noisy(7, 0, 1)); !errors.Is(err, context.Canceled) {
+		t.Errorf("called off: %v", err)
+	}
+}
--- a/internal/model/baseline.go
+++ b/internal/model/baseline.go
@@ -1,50 +1,455 @@
 package model
 
-import "starlingvalve/decide"
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
 
-// What users would pick instead, to be set beside the module. They try once and know no list but that of the start.
+	"starlingvalve/decide"
+)
 
-// Random sends each request to any server.
-func Random(servers int) func(decide.Settings, int64) Decider {
-	return func(_ decide.Settings, seed int64) Decider {
-		return &baseline{pick: NewStreams(uint64(seed)).Of("baseline", "pick"), out: make([]int, servers), draws: 1}
+// What users would pick instead, to be set beside the module. Each follows the registry's list, and none knows more than a
+// node does, but for the oracle.
+
+// The figures are those that each source gives as its default.
+const (
+	ewmaDecay = 10 * time.Second // Finagle, PeakEwma: decayTime
+
+	probesPerRequest = 3.0 // Prequal (Wydrowski et al., NSDI 2024), section 4: r_probe
+	probePool        = 16  // the same: how many answers are kept
+	probeAge         = time.Second
+	probeHot         = 0.84 // Q_RIF: the quantile of requests in flight beyond which a server is hot
+	probeReuse       = 2    // b_reuse, about what equation (1) gives for such pools
+
+	gradientSmooth = 0.2 // Netflix concurrency-limits, Gradient2Limit: smoothing
+	gradientFirst  = 20.0
+	gradientMost   = 200.0
+	gradientLong   = 600.0 // samples of the long average: longWindow
+	gradientSlack  = 1.5   // rttTolerance
+
+	retryShare = 0.2 // Envoy, RetryBudget: budget_percent 20 %
+	retryLeast = 3.0 // and min_retry_concurrency
+
+	ejectAfter = 5                // Envoy, OutlierDetection: consecutive_5xx
+	ejectFirst = 30 * time.Second // base_ejection_time, times the ejections of that host so far
+	ejectLast  = 300 * time.Second
+	ejectShare = 0.1 // max_ejection_percent; one server at least
+)
+
+// Policy is a decider by name.
+type Policy struct {
+	Name, Source string
+	make         func(f *Fleet, s decide.Settings, seed int64) Decider
+}
+
+// Policies are the module and all baselines, the module first. "+retry" behind a baseline's name gives it Envoy's retry budget,
+// "+eject" its outlier ejection: see FindPolicy.
+func Policies() []Policy {
+	plain := func(pick picker) func(*Fleet, decide.Settings, int64) Decider {
+		return func(_ *Fleet, s decide.Settings, seed int64) Decider { return newBaseline(s, seed, pick) }
+	}
+	return []Policy{
+		{"module", "package decide", func(_ *Fleet, s decide.Settings, seed int64) Decider { return decide.New(s, seed) }},
+		{"random", "Envoy, RANDOM", plain(pickRandom)},
+		{"round-robin", "Envoy, ROUND_ROBIN", plain(pickNext)},
+		{"least-request", "Envoy, LEAST_REQUEST, of two", plain(pickLeast)},
+		{"peak-ewma", "Finagle and Linkerd, of two", plain(pickEWMA)},
+		{"prequal", "Prequal (NSDI 2024), probes reused", func(_ *Fleet, s decide.Settings, seed int64) Decider {
+			b := newBaseline(s, seed, pickProbed)
+			b.probing = true
+			return b
+		}},
+		{"gradient", "Netflix Gradient2 limit, least-request", func(_ *Fleet, s decide.Settings, seed int64) Decider {
+			b := newBaseline(s, seed, pickLeast)
+			b.limit = gradientFirst
+			return b
+		}},
+		{"oracle", "sees all servers' true state and each order's work", func(f *Fleet, _ decide.Settings, _ int64) Decider { return &oracle{f: f} }},
+	}
+}
+
+// FindPolicy gives a policy by its name, such as "peak-ewma+retry+eject". An error names those that there are.
+func FindPolicy(name string) (Policy, error) {
+	base, options, _ := strings.Cut(name, "+")
+	var names []string
+	for _, p := range Policies() {
+		names = append(names, p.Name)
+		if p.Name != base {
+			continue
+		}
+		if options == "" {
+			return p, nil
+		}
+		retry, eject := false, false
+		for option := range strings.SplitSeq(options, "+") {
+			switch option {
+			case "retry":
+				retry = true
+			case "eject":
+				eject = true
+			default:
+				return Policy{}, fmt.Errorf("policy %q: want +retry or +eject, have +%s", name, option)
+			}
+		}
+		made := p.make
+		if _, ok := made(nil, decide.Settings{}, 0).(*baseline); !ok {
+			return Policy{}, fmt.Errorf("policy %q: %s takes no options", name, base)
+		}
+		return Policy{name, p.Source, func(f *Fleet, s decide.Settings, seed int64) Decider {
+			b := made(f, s, seed).(*baseline)
+			b.retries, b.ejects = retry, eject
+			return b
+		}}, nil
 	}
+	return Policy{}, fmt.Errorf("policy %q: there are %s", name, strings.Join(names, ", "))
 }
 
+// Random sends each request to any server.
+func Random() Policy { return mustFind("random") }
+
 // LeastOfTwo sends each request to the one of two random servers that holds fewer of this node's.
-func LeastOfTwo(servers int) func(decide.Settings, int64) Decider {
-	return func(_ decide.Settings, seed int64) Decider {
-		return &baseline{pick: NewStreams(uint64(seed)).Of("baseline", "pick"), out: make([]int, servers), draws: 2}
+func LeastOfTwo() Policy { return mustFind("least-request") }
+
+func mustFind(name string) Policy {
+	p, err := FindPolicy(name)
+	if err != nil {
+		panic(err)
 	}
+	return p
 }
 
+// host is a server as a baseline sees it.
+type host struct {
+	id       decide.ServerID
+	out      int
+	cost, at float64 // PeakEwma: s; when it was last updated, s
+	failures int     // in a row
+	ejected  int     // times
+	until    decide.Time
+}
+
+// probe is an answer to a probe that Prequal keeps.
+type probe struct {
+	host     *host
+	at       decide.Time
+	inFlight float64
+	latency  time.Duration
+	uses     int
+}
+
+// picker chooses among hosts, of which there is one at least.
+type picker func(b *baseline, hosts []*host) *host
+
 type baseline struct {
-	pick  *Stream
-	out   []int // own requests at each server
-	draws int
+	set     decide.Settings
+	rng     *Stream
+	pick    picker
+	retries bool
+	ejects  bool
+	now     decide.Time
+	hosts   []*host
+	open    map[decide.RequestID]*baseTry
+	next    int     // round robin
+	active  float64 // requests out; of them further tries
+	further float64
+
+	probing bool
+	probes  []probe
+	loads   []float64 // the last requests-in-flight figures, for their quantile
+	due     float64   // probes that are still to be sent
+
+	limit, long float64 // gradient; 0: none
+	samples     float64
+}
+
+type baseTry struct {
+	class decide.Class
+	tried []*host
+	again bool // a further try is out
+	until decide.Time
+}
+
+func newBaseline(s decide.Settings, seed int64, pick picker) *baseline {
+	return &baseline{set: s, pick: pick, rng: NewStreams(uint64(seed)).Of("baseline", "pick"), open: map[decide.RequestID]*baseTry{}}
 }
 
 // Handle is Decider's.
-func (b *baseline) Handle(_ decide.Time, e decide.Event) []decide.Action {
+func (b *baseline) Handle(now decide.Time, e decide.Event) (out []decide.Action) {
+	b.now = now
 	switch e := e.(type) {
+	case decide.ListUpdate:
+		b.follow(e)
 	case decide.RequestArrived:
-		best := b.pick.IntN(len(b.out))
-		for range b.draws - 1 {
-			if other := b.pick.IntN(len(b.out)); b.out[other] < b.out[best] {
-				best = other
+		if b.limit > 0 && b.active >= math.Floor(b.limit) {
+			return []decide.Action{decide.Refuse{ID: e.ID}}
+		}
+		t := &baseTry{until: now + e.Patience}
+		for _, c := range b.set.Classes {
+			if c.Name == e.Class {
+				t.class = c
+			}
+		}
+		b.open[e.ID] = t
+		out = b.send(e.ID, t)
+		if b.probing {
+			for b.due += probesPerRequest; b.due >= 1 && len(b.hosts) > 0; b.due-- {
+				out = append(out, decide.Probe{Server: b.hosts[b.rng.IntN(len(b.hosts))].id})
 			}
 		}
-		b.out[best]++
-		return []decide.Action{decide.Send{ID: e.ID, Server: decide.ServerID(best + 1)}}
+	case decide.ProbeEnded:
+		b.probed(e)
 	case decide.AttemptEnded:
-		b.out[e.Server-1]--
-		if e.Over || e.Code == decide.OK {
+		return b.ended(e)
+	}
+	return out
+}
+
+func (b *baseline) follow(e decide.ListUpdate) {
+	if e.Kind == decide.ListFull || e.Kind == decide.ListCached {
+		b.hosts = nil
+	}
+	for _, s := range e.Entries {
+		i := slices.IndexFunc(b.hosts, func(h *host) bool { return h.id == s.ID })
+		switch {
+		case s.State == decide.Ready && i < 0:
+			b.hosts = append(b.hosts, &host{id: s.ID})
+		case s.State != decide.Ready && i >= 0:
+			b.hosts = slices.Delete(b.hosts, i, i+1)
+		}
+	}
+}
+
+// usable leaves out what is ejected; if that is all, nothing is (Envoy's panic).
+func (b *baseline) usable(tried []*host) []*host {
+	var usable, others []*host
+	for _, h := range b.hosts {
+		if slices.Contains(tried, h) {
+			continue
+		}
+		others = append(others, h)
+		if h.until <= b.now {
+			usable = append(usable, h)
+		}
+	}
+	if len(usable) == 0 {
+		return others
+	}
+	return usable
+}
+
+func (b *baseline) send(id decide.RequestID, t *baseTry) []decide.Action {
+	hosts := b.usable(t.tried)
+	if len(hosts) == 0 {
+		return b.finish(id, t, true)
+	}
+	h := b.pick(b, hosts)
+	h.out++
+	b.active++
+	if t.again = len(t.tried) > 0; t.again {
+		b.further++
+	}
+	t.tried = append(t.tried, h)
+	return []decide.Action{decide.Send{ID: id, Server: h.id}}
+}
+
+func (b *baseline) finish(id decide.RequestID, _ *baseTry, refuse bool) []decide.Action {
+	delete(b.open, id)
+	if refuse {
+		return []decide.Action{decide.Refuse{ID: id}}
+	}
+	return []decide.Action{decide.Fail{ID: id}}
+}
+
+func (b *baseline) ended(e decide.AttemptEnded) []decide.Action {
+	t := b.open[e.ID]
+	if t == nil || len(t.tried) == 0 {
+		return nil
+	}
+	h := t.tried[len(t.tried)-1]
+	h.out--
+	b.active--
+	if t.again {
+		b.further--
+	}
+	ok := e.Code == decide.OK
+	b.learn(h, e.Elapsed.Seconds(), ok)
+	if ok || e.Over {
+		delete(b.open, e.ID)
+		return nil
+	}
+	neverRan := e.Code == decide.Full || e.Code == decide.ConnectFailed || e.Code == decide.Moot
+	if b.retries && (neverRan || t.class.Effect == decide.Safe && e.Code != decide.TimedOut) && len(t.tried) < max(1, b.set.MaxAttempts) &&
+		b.now < t.until && b.further < math.Max(retryLeast, retryShare*b.active) {
+		return b.send(e.ID, t)
+	}
+	return b.finish(e.ID, t, neverRan || t.class.Effect == decide.Safe)
+}
+
+func (b *baseline) learn(h *host, took float64, ok bool) {
+	now := b.now.Seconds()
+	w := math.Exp(-(now - h.at) / ewmaDecay.Seconds())
+	if took > h.cost {
+		h.cost = took // a peak counts at once
+	} else {
+		h.cost = h.cost*w + took*(1-w)
+	}
+	h.at = now
+	if ok {
+		h.failures = 0
+	} else if h.failures++; b.ejects && h.failures >= ejectAfter {
+		out := 0
+		for _, o := range b.hosts {
+			if o.until > b.now {
+				out++
+			}
+		}
+		if out == 0 || float64(out+1) <= ejectShare*float64(len(b.hosts)) {
+			h.ejected++
+			h.until, h.failures = b.now+min(time.Duration(h.ejected)*ejectFirst, ejectLast), 0
+		}
+	}
+	if b.limit > 0 && ok { // Gradient2Limit._update
+		b.samples++
+		b.long += (took - b.long) / math.Min(b.samples, gradientLong)
+		if b.long/took > 2 {
+			b.long *= 0.95
+		}
+		if b.active+1 < b.limit/2 {
+			return // it is not what limits
+		}
+		gradient := math.Max(0.5, math.Min(1, gradientSlack*b.long/took))
+		next := b.limit*gradient + 4
+		b.limit = math.Max(gradientFirst, math.Min(gradientMost, b.limit*(1-gradientSmooth)+next*gradientSmooth))
+	}
+}
+
+func (b *baseline) probed(e decide.ProbeEnded) {
+	i := slices.IndexFunc(b.hosts, func(h *host) bool { return h.id == e.Server })
+	if e.Code != decide.OK || e.Report == nil || i < 0 {
+		return
+	}
+	b.probes = append(b.probes, probe{b.hosts[i], b.now, e.Report.InFlight, e.Report.ServiceTime, 0})
+	b.loads = append(b.loads, e.Report.InFlight)
+	if len(b.loads) > 8*probePool {
+		b.loads = b.loads[len(b.loads)-8*probePool:]
+	}
+	if len(b.probes) > probePool {
+		b.probes = b.probes[1:]
+	}
+}
+
+func pickRandom(b *baseline, hosts []*host) *host { return hosts[b.rng.IntN(len(hosts))] }
+
+func pickNext(b *baseline, hosts []*host) *host {
+	b.next++
+	return hosts[b.next%len(hosts)]
+}
+
+// two gives two hosts, which differ if there are two.
+func (b *baseline) two(hosts []*host) (*host, *host) {
+	i := b.rng.IntN(len(hosts))
+	if len(hosts) == 1 {
+		return hosts[0], hosts[0]
+	}
+	return hosts[i], hosts[(i+1+b.rng.IntN(len(hosts)-1))%len(hosts)]
+}
+
+func pickLeast(b *baseline, hosts []*host) *host {
+	x, y := b.two(hosts)
+	if y.out < x.out {
+		return y
+	}
+	return x
+}
+
+func pickEWMA(b *baseline, hosts []*host) *host {
+	load := func(h *host) float64 {
+		cost := h.cost * math.Exp(-(b.now.Seconds()-h.at)/ewmaDecay.Seconds())
+		if cost == 0 && h.out > 0 {
+			return math.MaxFloat64 / 2 // Finagle's penalty: nothing is known, and something is out
+		}
+		return cost * float64(h.out+1)
+	}
+	x, y := b.two(hosts)
+	if load(y) < load(x) {
+		return y
+	}
+	return x
+}
+
+// pickProbed is Prequal's hot-cold rule: of the cold ones that with the least latency, else the one with the least in flight.
+func pickProbed(b *baseline, hosts []*host) *host {
+	b.probes = slices.DeleteFunc(b.probes, func(p probe) bool {
+		return b.now-p.at > probeAge || p.uses >= probeReuse || !slices.Contains(hosts, p.host)
+	})
+	if len(b.probes) < 2 {
+		return pickRandom(b, hosts)
+	}
+	sorted := slices.Clone(b.loads)
+	slices.Sort(sorted)
+	hot := sorted[int(probeHot*float64(len(sorted)-1))]
+	best := -1
+	for i, p := range b.probes {
+		q := probe{inFlight: math.Inf(1), latency: math.MaxInt64}
+		if best >= 0 {
+			q = b.probes[best]
+		}
+		cold, was := p.inFlight <= hot, best >= 0 && q.inFlight <= hot
+		if cold && (!was || p.latency < q.latency) || !cold && !was && p.inFlight < q.inFlight {
+			best = i
+		}
+	}
+	p := &b.probes[best]
+	p.uses++
+	p.inFlight++ // this request is one more
+	return p.host
+}
+
+// oracle sends each order to the server that would answer it first, by the true state of all, and refuses what none would
+// answer within its aim, or what would keep classes that are worth more for their work from theirs: what a perfect view is
+// worth, without a view of the future.
+type oracle struct{ f *Fleet }
+
+// room is how long a server's queue may be for an order of a class to join it, in seconds.
+func (o *oracle) room(c *Class) float64 {
+	density := func(c *Class) float64 { return c.Worth / c.Work.Seconds() }
+	room := math.Inf(1)
+	for i := range o.f.sc.Classes {
+		if d := &o.f.sc.Classes[i]; density(d) > density(c) {
+			room = math.Min(room, (d.Aim - 3*d.Work).Seconds())
+		}
+	}
+	return math.Max(0, room)
+}
+
+// Handle is Decider's.
+func (o *oracle) Handle(_ decide.Time, e decide.Event) []decide.Action {
+	switch e := e.(type) {
+	case decide.RequestArrived:
+		t := o.f.tryOf(e.ID)
+		if t == nil {
 			return nil
 		}
-		if e.Code == decide.Full || e.Code == decide.ConnectFailed {
+		best, least, room := (*server)(nil), math.Inf(1), o.room(t.order.class)
+		for _, s := range o.f.servers {
+			if s.down || s.mute || s.held() >= s.Room {
+				continue
+			}
+			if w := s.expects(t.order.work); w < least && s.expects(0) <= room {
+				best, least = s, w
+			}
+		}
+		left := (t.order.began + t.order.class.Aim - o.f.Now() - 2*o.f.sc.Hop).Seconds()
+		if best == nil || least > left {
 			return []decide.Action{decide.Refuse{ID: e.ID}}
 		}
-		return []decide.Action{decide.Fail{ID: e.ID}}
+		return []decide.Action{decide.Send{ID: e.ID, Server: best.id}}
+	case decide.AttemptEnded:
+		if !e.Over && e.Code != decide.OK {
+			return []decide.Action{decide.Fail{ID: e.ID}}
+		}
 	}
 	return nil
 }
--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -51,7 +51,8 @@
 	NodeCost time.Duration // of a node's core, for each event that it handles
 	Lag      time.Duration // of the registry: nodes hear so much later that a server is gone or back
 	Settings decide.Settings
-	Make     func(s decide.Settings, seed int64) Decider // of a node; nil: decide.New
+	Policy   Policy // what decides at each node; its zero value: the module
+	Salt     string // of the deciders' own random numbers: versions that are compared have different ones
 	Faults   []Fault
 }
 
@@ -87,7 +88,7 @@
 // Fleet is a run under way.
 type Fleet struct {
 	Clock
-	Sums
+	Outcome
 	sc      *Scenario
 	streams *Streams
 	servers []*server
@@ -95,6 +96,7 @@
 	nodes   []*node
 	nextID  int
 	version uint64 // of the registry's list
+	ofClass map[*Class]*ClassSums
 }
 
 type server struct {
@@ -124,6 +126,7 @@
 	decider Decider
 	free    time.Duration // when its core is
 	tries   map[decide.RequestID]*try
+	name    string
 }
 
 // order is what a client wants, over all its tries.
@@ -158,22 +161,28 @@
 
 // NewFleet makes a run of a scenario.
 func NewFleet(sc *Scenario, seed uint64) *Fleet {
-	f := &Fleet{sc: sc, streams: NewStreams(seed), byID: map[decide.ServerID]*server{}}
+	f := &Fleet{sc: sc, streams: NewStreams(seed), byID: map[decide.ServerID]*server{}, ofClass: map[*Class]*ClassSums{}}
 	f.version = 1
+	f.Outcome = newOutcome(sc)
+	for i := range sc.Classes {
+		f.ofClass[&sc.Classes[i]] = &f.Classes[i]
+	}
+	f.At(0, f.observe)
 	list := decide.ListUpdate{Kind: decide.ListFull, Version: f.version}
 	for i, spec := range sc.Servers {
 		s := &server{ServerSpec: spec, f: f, id: decide.ServerID(i + 1), started: -time.Hour, work: f.streams.Of("server "+spec.Name, "work")}
 		f.servers, f.byID[s.id] = append(f.servers, s), s
 		list.Entries = append(list.Entries, decide.Server{ID: s.id, Zone: spec.Zone, Cell: spec.Cell, Size: 1})
 	}
+	make := sc.Policy.make
+	if make == nil {
+		make = Policies()[0].make
+	}
 	for i := range sc.Nodes {
 		settings := sc.Settings
 		settings.Nodes, settings.Self = sc.Nodes, i
-		make := sc.Make
-		if make == nil {
-			make = func(s decide.Settings, seed int64) Decider { return decide.New(s, seed) }
-		}
-		n := &node{f: f, decider: make(settings, int64(f.streams.Of(fmt.Sprint("node ", i), "seed").Uint64())), tries: map[decide.RequestID]*try{}}
+		name := fmt.Sprint("node ", i)
+		n := &node{f: f, name: name, decider: make(f, settings, int64(f.streams.Of(name, "seed"+sc.Salt).Uint64())), tries: map[decide.RequestID]*try{}}
 		f.nodes = append(f.nodes, n)
 		f.At(0, func() { n.tell(list) })
 	}
@@ -192,6 +201,8 @@
 			heedless: manners.Chance(sc.Heedless)}
 		f.Orders++
 		f.Asked += c.Worth
+		f.ofClass[c].Orders++
+		f.second().Orders++
 		f.try(o)
 		f.After(arrivals.Exp(time.Duration(float64(time.Second)/sc.Rate)), arrive)
 	}
@@ -200,10 +211,23 @@
 }
 
 // Play runs a scenario to its end and gives what came of it.
-func Play(sc *Scenario, seed uint64) Sums {
+func Play(sc *Scenario, seed uint64) Sums { return PlayFull(sc, seed).Sums }
+
+// PlayFull is Play with all that was measured.
+func PlayFull(sc *Scenario, seed uint64) *Outcome {
 	f := NewFleet(sc, seed)
 	f.Run(sc.Length + 2*sc.Settings.LongestDeadline())
-	return f.Sums
+	return &f.Outcome
+}
+
+// tryOf finds a try at any node.
+func (f *Fleet) tryOf(id decide.RequestID) *try {
+	for _, n := range f.nodes {
+		if t := n.tries[id]; t != nil {
+			return t
+		}
+	}
+	return nil
 }
 
 func (f *Fleet) pick(s *Stream) *Class {
@@ -246,12 +270,16 @@
 	f, o := t.node.f, t.order
 	delete(t.node.tries, t.id)
 	took := f.Now() - o.began
+	class := f.ofClass[o.class]
 	switch {
 	case served && f.Now() <= o.deadline:
 		f.Served++
+		f.record(class, took)
 		if took <= o.class.Aim {
 			f.InAim++
 			f.Got += o.class.Worth
+			class.InAim++
+			f.at(o.began).InAim++
 		}
 	case refused && o.tries <= f.sc.Retries:
 		if o.heedless {
@@ -263,10 +291,15 @@
 			return
 		}
 		f.Refused++
+		class.Refused++
+		f.at(o.began).Refused++
 	case refused:
 		f.Refused++
+		class.Refused++
+		f.at(o.began).Refused++
 	default:
 		f.Failed++
+		class.Failed++
 	}
 }
 
@@ -299,6 +332,8 @@
 			t.end(false, 0, false)
 		}
 	case decide.CancelAttempt: // the outcome comes as an event of its own
+	case decide.Probe:
+		n.probe(a.Server)
 	case decide.SetTimer:
 		f.After(a.After, func() { n.tell(decide.TimerFired{Token: a.Token}) })
 	}
@@ -342,12 +377,50 @@
 	f.After(f.sc.Hop, func() { s.take(at.job) })
 }
 
+// probe asks a server how many requests it holds and what one that comes now may expect. It costs the server nothing.
+func (n *node) probe(id decide.ServerID) {
+	f, s := n.f, n.f.byID[id]
+	sent := f.Now()
+	f.After(f.sc.Hop, func() {
+		e := decide.ProbeEnded{Server: id, Code: decide.ConnectFailed}
+		if s != nil && s.mute {
+			return // the node hears nothing, and asks others meanwhile
+		}
+		if s != nil && !s.down {
+			e.Code, e.Report = decide.OK, &decide.Report{InFlight: float64(s.held()), HasInFlight: true,
+				ServiceTime: time.Duration(s.expects(f.sc.meanWork()) * float64(time.Second))}
+		}
+		f.After(f.sc.Hop, func() {
+			e.Elapsed = f.Now() - sent
+			n.onCore(func() { n.tell(e) })
+		})
+	})
+}
+
+// held is the number of requests that it has, at work and waiting.
+func (s *server) held() int { return s.busy + len(s.queue) }
+
+// expects is how long a request of so much work that came now would take, in seconds, by what it holds.
+func (s *server) expects(work float64) float64 {
+	waiting := 0.0
+	for _, j := range s.queue {
+		if !j.called {
+			waiting += j.work
+		}
+	}
+	ahead := waiting / float64(s.Cores)
+	if s.busy >= s.Cores {
+		ahead += s.f.sc.meanWork() / float64(s.Cores) // what is at work is half done on the whole, and the first core counts
+	}
+	return (ahead + work) / s.speed()
+}
+
 // take is a request's arrival at a server.
 func (s *server) take(j *job) {
 	switch {
 	case s.down:
 		j.done(decide.ConnectFailed)
-	case s.busy+len(s.queue) >= s.Room:
+	case s.held() >= s.Room:
 		j.done(decide.Full)
 	default:
 		s.queue = append(s.queue, j)
@@ -393,7 +466,7 @@
 	if s.slow {
 		v /= 10
 	}
-	if held := s.busy + len(s.queue); s.CrowdFrom > 0 && held > s.CrowdFrom {
+	if held := s.held(); s.CrowdFrom > 0 && held > s.CrowdFrom {
 		v /= 1 + s.CrowdSlow*float64(held-s.CrowdFrom)/float64(s.CrowdFrom)
 	}
 	return v
--- a/internal/model/fleet_test.go
+++ b/internal/model/fleet_test.go
@@ -76,7 +76,7 @@
 func TestCrowdsAndManners(t *testing.T) {
 	random := func(change func(*Scenario)) Sums {
 		sc := sunday(1.1)
-		sc.Make = Random(len(sc.Servers))
+		sc.Policy = Random()
 		change(sc)
 		return Play(sc, 4)
 	}
@@ -114,7 +114,7 @@
 	sc := sunday(0.01, Fault{At: 5 * time.Second, For: 4 * time.Second, Server: 2, Kind: Crash})
 	sc.Nodes, sc.Lag = 1, 3*time.Second
 	var heard []string
-	sc.Make = func(decide.Settings, int64) Decider { return &listener{&heard} }
+	sc.Policy = Policy{make: func(*Fleet, decide.Settings, int64) Decider { return &listener{&heard} }}
 	Play(sc, 1)
 	want := []string{fmt.Sprint("8s 3 ", decide.Gone, " ", -time.Hour), fmt.Sprint("12s 3 ", decide.Ready, " 9s")}
 	if !slices.Equal(heard, want) {
@@ -125,7 +125,7 @@
 // Another decider takes the module's place with no change here, and meets the same arrivals.
 func TestAnotherDecider(t *testing.T) {
 	sc, plain := sunday(1.2), sunday(1.2)
-	plain.Make = Random(len(plain.Servers))
+	plain.Policy = Random()
 	ours, theirs := Play(sc, 5), Play(plain, 5)
 	if ours.Orders != theirs.Orders || ours.Asked != theirs.Asked {
 		t.Errorf("%d and %d orders: not the same arrivals", ours.Orders, theirs.Orders)
--- /dev/null
+++ b/internal/model/version.go
@@ -0,0 +1,170 @@
+package model
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"starlingvalve/internal/tomlfile"
+)
+
+// Version is one side of a comparison: what decides at the nodes, what they are told, and what the fleet is.
+type Version struct {
+	Name   string
+	change func(*Scenario)
+}
+
+// versionFile is the form of a version file. What it leaves out stays as the scenario has it.
+type versionFile struct {
+	Policy   string `toml:"policy"` // see FindPolicy
+	Settings struct {
+		MaxAttempts    *int     `toml:"max_attempts"`
+		MayOverlap     *bool    `toml:"may_overlap"`
+		MayCancel      *bool    `toml:"may_cancel"`
+		HoldOffs       *bool    `toml:"hold_offs"`
+		MaxHoldOff     *seconds `toml:"max_hold_off"`
+		ConnectTimeout *seconds `toml:"connect_timeout"`
+		ColdFrom       *float64 `toml:"cold_from"` // what nodes are told of servers' starts
+		ColdTime       *seconds `toml:"cold_time"`
+	} `toml:"settings"`
+	Fleet struct {
+		Speed    *float64 `toml:"speed"` // times that of the scenario, all servers
+		Load     *float64 `toml:"load"`  // times that of the scenario, orders a second
+		Nodes    *int     `toml:"nodes"`
+		Lag      *seconds `toml:"registry_lag"`
+		Heedless *float64 `toml:"heedless"`
+		Retries  *int     `toml:"retries"`
+	} `toml:"fleet"`
+}
+
+// FindVersion gives a version by the name of a policy, or reads the version file of that path (a name that ends in .toml).
+func FindVersion(name string) (*Version, error) {
+	if strings.HasSuffix(name, ".toml") {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		return parseVersion(name, raw)
+	}
+	p, err := FindPolicy(name)
+	if err != nil {
+		return nil, err
+	}
+	return &Version{name, func(sc *Scenario) { sc.Policy = p }}, nil
+}
+
+func parseVersion(path string, raw []byte) (*Version, error) {
+	var f versionFile
+	if err := tomlfile.Decode(path, raw, &f); err != nil {
+		return nil, err
+	}
+	fault := tomlfile.Faults(path, raw)
+	policy := Policies()[0]
+	if f.Policy != "" {
+		var err error
+		if policy, err = FindPolicy(f.Policy); err != nil {
+			return nil, fault("policy", "%v", err)
+		}
+	}
+	s, l := f.Settings, f.Fleet
+	for _, err := range []error{
+		inRange(fault, "settings.max_attempts", s.MaxAttempts, 1, 100), inRange(fault, "settings.cold_from", s.ColdFrom, 0.01, 1),
+		inRange(fault, "fleet.speed", l.Speed, 0.01, 100), inRange(fault, "fleet.load", l.Load, 0.01, 100), inRange(fault, "fleet.nodes", l.Nodes, 1, mostNodes),
+		inRange(fault, "fleet.heedless", l.Heedless, 0, 1), inRange(fault, "fleet.retries", l.Retries, 0, 10),
+		span(fault, "settings.max_hold_off", s.MaxHoldOff, 0, time.Minute), span(fault, "settings.connect_timeout", s.ConnectTimeout, time.Millisecond, time.Minute),
+		span(fault, "settings.cold_time", s.ColdTime, 0, mostLength), span(fault, "fleet.registry_lag", l.Lag, 0, time.Minute),
+	} {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return &Version{path, func(sc *Scenario) {
+		sc.Policy = policy
+		t := &sc.Settings
+		set(&t.MaxAttempts, s.MaxAttempts)
+		set(&t.MayOverlap, s.MayOverlap)
+		set(&t.MayCancel, s.MayCancel)
+		set(&t.HoldOffs, s.HoldOffs)
+		set(&t.ColdFrom, s.ColdFrom)
+		setTime(&t.MaxHoldOff, s.MaxHoldOff)
+		setTime(&t.ConnectTimeout, s.ConnectTimeout)
+		setTime(&t.ColdTime, s.ColdTime)
+		set(&sc.Nodes, l.Nodes)
+		set(&sc.Heedless, l.Heedless)
+		set(&sc.Retries, l.Retries)
+		setTime(&sc.Lag, l.Lag)
+		if l.Load != nil {
+			sc.Rate *= *l.Load
+		}
+		if l.Speed != nil {
+			for i := range sc.Servers {
+				sc.Servers[i].Speed *= *l.Speed
+			}
+		}
+	}}, nil
+}
+
+type faultMaker = func(key, format string, args ...any) error
+
+func inRange[T int | float64](fault faultMaker, key string, v *T, least, most T) error {
+	if v != nil && !(*v >= least && *v <= most) {
+		return fault(key, "want %v to %v, have %v", least, most, *v)
+	}
+	return nil
+}
+
+func span(fault faultMaker, key string, v *seconds, least, most time.Duration) error {
+	if v != nil && (v.Duration < least || v.Duration > most) {
+		return fault(key, "want %v to %v, have %v", least, most, v.Duration)
+	}
+	return nil
+}
+
+func set[T any](to *T, v *T) {
+	if v != nil {
+		*to = *v
+	}
+}
+
+func setTime(to *time.Duration, v *seconds) {
+	if v != nil {
+		*to = v.Duration
+	}
+}
+
+// Of gives the scenario as this version has it; the scenario itself stays as it is. salt tells the sides of a comparison apart:
+// each side's deciders draw random numbers of their own, also where the versions are the same.
+func (v *Version) Of(sc *Scenario, salt string) *Scenario {
+	c := *sc
+	c.Servers = append([]ServerSpec(nil), sc.Servers...)
+	c.Salt = salt
+	v.change(&c)
+	return &c
+}
+
+// Scaled gives the scenario with so many times its orders a second.
+func (sc *Scenario) Scaled(load float64) *Scenario {
+	c := *sc
+	c.Rate *= load
+	return &c
+}
+
+// Measures are what a comparison looks at, the main one first. All but the times and the tries are parts of what was asked.
+func (sc *Scenario) Measures() []string {
+	names := []string{"worth in time", "refused", "failed", "tries an order", "p50 ms", "p99 ms", "p99.9 ms", "turns"}
+	for _, c := range sc.Classes {
+		names = append(names, "in time, "+c.Name)
+	}
+	return names
+}
+
+// Values are the figures of a run by the names of Measures. Where nothing was asked or served, its parts and times are 0.
+func (o *Outcome) Values() []float64 {
+	part := func(n, of int) float64 { return float64(n) / float64(max(1, of)) }
+	time := func(q float64) float64 { return float64(o.Times.ValueAtQuantile(q)) / 1e3 }
+	v := []float64{o.Worth(), part(o.Refused, o.Orders), part(o.Failed, o.Orders), part(o.Tries, o.Orders), time(50), time(99), time(99.9), float64(o.Turns)}
+	for _, c := range o.Classes {
+		v = append(v, part(c.InAim, c.Orders))
+	}
+	return v
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,259 @@
+// Package report renders a comparison: a table for a terminal, JSON for machines, and one HTML file with plots that opens
+// without a network.
+package report
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"starlingvalve/internal/experiment"
+	"starlingvalve/internal/model"
+)
+
+// Comparison is what a report shows.
+type Comparison struct {
+	Scenario  string                `json:"scenario"`
+	A         string                `json:"a"`
+	B         string                `json:"b"`
+	Seed      uint64                `json:"first_seed"`
+	Width     float64               `json:"wanted_half_width"`
+	Wanted    int                   `json:"wanted_pairs"`
+	Intervals []experiment.Interval `json:"intervals"`
+	// Timelines are the seconds of one run of each side, of the first seed.
+	Timelines [2][]model.Second `json:"-"`
+	Curve     *Curve            `json:"curve,omitempty"`
+}
+
+// Curve is worth against load, for some policies.
+type Curve struct {
+	Loads []float64             `json:"loads"` // times the scenario's
+	Lines map[string][]Estimate `json:"lines"`
+	Names []string              `json:"names"` // of the lines, in order
+}
+
+// Estimate is a mean and its confidence interval.
+type Estimate struct{ Mean, Low, High float64 }
+
+// Verdict says in one sentence what the main measure tells.
+func (c *Comparison) Verdict() string {
+	if len(c.Intervals) == 0 {
+		return "nothing was measured"
+	}
+	i := c.Intervals[0]
+	switch {
+	case i.A == 0 && i.B == 0:
+		return "no verdict: neither served anything in time"
+	case i.Low > 0:
+		return fmt.Sprintf("b is better: %s %+.4f (%+.4f to %+.4f)", i.Name, i.Mean, i.Low, i.High)
+	case i.High < 0:
+		return fmt.Sprintf("b is worse: %s %+.4f (%+.4f to %+.4f)", i.Name, i.Mean, i.Low, i.High)
+	}
+	return fmt.Sprintf("no difference seen: %s %+.4f (%+.4f to %+.4f); %d pairs would see %.4f four times in five", i.Name, i.Mean, i.Low, i.High, i.Pairs, i.Smallest)
+}
+
+// Short says by how much the run is shorter than the width asked for wants; empty if it is not.
+func (c *Comparison) Short() string {
+	if len(c.Intervals) == 0 || c.Intervals[0].Pairs >= c.Wanted {
+		return ""
+	}
+	return fmt.Sprintf("%d pairs of the %d that a half-width of %.4f wants: the interval is wider", c.Intervals[0].Pairs, c.Wanted, c.Width)
+}
+
+// Text writes the table for a terminal.
+func (c *Comparison) Text(to io.Writer) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "measure\ta: %s\tb: %s\tb - a\t95%% interval\tsmallest seen\n", c.A, c.B)
+	for _, i := range c.Intervals {
+		mark := ""
+		if i.Differs() {
+			mark = " *"
+		}
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%+.4g\t%+.4g to %+.4g%s\t%.3g\n", i.Name, i.A, i.B, i.Mean, i.Low, i.High, mark, i.Smallest)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, line := range []string{c.Short(), c.Verdict()} {
+		if line != "" {
+			fmt.Fprintln(to, line)
+		}
+	}
+	return nil
+}
+
+// JSON writes it for machines.
+func (c *Comparison) JSON(to io.Writer) error {
+	e := json.NewEncoder(to)
+	e.SetIndent("", "  ")
+	return e.Encode(c)
+}
+
+//go:embed page.html
+var page string
+
+// HTML writes one page with all plots in it.
+func (c *Comparison) HTML(to io.Writer) error {
+	t, err := template.New("page").Parse(page)
+	if err != nil {
+		return err
+	}
+	var plots []template.HTML
+	for _, make := range []func() (*plot.Plot, error){c.differences, c.worthOverTime, c.modesOverTime, c.curve} {
+		p, err := make()
+		if err != nil {
+			return err
+		}
+		if p == nil {
+			continue
+		}
+		svg, err := render(p)
+		if err != nil {
+			return err
+		}
+		plots = append(plots, template.HTML(svg)) // made here, of numbers and of names that the plotter escapes
+	}
+	return t.Execute(to, map[string]any{"C": c, "Plots": plots})
+}
+
+func render(p *plot.Plot) (string, error) {
+	const width, height = 18 * vg.Centimeter, 8 * vg.Centimeter
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	text := out.String()
+	if i := strings.Index(text, "<svg"); i > 0 {
+		text = text[i:] // without the XML declaration
+	}
+	return text, nil
+}
+
+// differences shows the intervals of all measures that are parts of what was asked.
+func (c *Comparison) differences() (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = "Difference, b - a, with its interval"
+	var names []string
+	var at plotter.XYs
+	var bars plotter.XErrors
+	for _, i := range c.Intervals {
+		if math.Max(math.Abs(i.A), math.Abs(i.B)) > 1 {
+			continue // not a part
+		}
+		at = append(at, plotter.XY{X: i.Mean, Y: float64(len(names))})
+		bars = append(bars, struct{ Low, High float64 }{i.Mean - i.Low, i.High - i.Mean})
+		names = append(names, i.Name)
+	}
+	if len(names) == 0 {
+		return nil, nil
+	}
+	points, err := plotter.NewScatter(at)
+	if err != nil {
+		return nil, err
+	}
+	errors, err := plotter.NewXErrorBars(struct {
+		plotter.XYer
+		plotter.XErrorer
+	}{at, bars})
+	if err != nil {
+		return nil, err
+	}
+	zero, err := plotter.NewLine(plotter.XYs{{X: 0, Y: -0.5}, {X: 0, Y: float64(len(names)) - 0.5}})
+	if err != nil {
+		return nil, err
+	}
+	zero.Dashes = plotutil.Dashes(1)
+	p.Add(zero, errors, points)
+	p.NominalY(names...)
+	return p, nil
+}
+
+func (c *Comparison) worthOverTime() (*plot.Plot, error) {
+	return c.overTime("Orders answered in time and refused, one run of each", "orders a second", []line{
+		{"asked", 0, func(s model.Second) int { return s.Orders }}, {"a, in time", 0, func(s model.Second) int { return s.InAim }},
+		{"b, in time", 1, func(s model.Second) int { return s.InAim }}, {"a, refused", 0, func(s model.Second) int { return s.Refused }},
+		{"b, refused", 1, func(s model.Second) int { return s.Refused }}})
+}
+
+func (c *Comparison) modesOverTime() (*plot.Plot, error) {
+	return c.overTime("Requests at servers, and servers that are not normal (over all nodes)", "", []line{
+		{"a, requests", 0, func(s model.Second) int { return s.Held }}, {"b, requests", 1, func(s model.Second) int { return s.Held }},
+		{"a, overloaded or blocking", 0, func(s model.Second) int { return s.Overloaded + s.Blocking }}, {"b, the same", 1, func(s model.Second) int { return s.Overloaded + s.Blocking }},
+		{"a, suspect or cold", 0, func(s model.Second) int { return s.Apart }}, {"b, the same", 1, func(s model.Second) int { return s.Apart }}})
+}
+
+type line struct {
+	name string
+	side int
+	of   func(model.Second) int
+}
+
+func (c *Comparison) overTime(title, unit string, lines []line) (*plot.Plot, error) {
+	if len(c.Timelines[0]) < 2 || len(c.Timelines[1]) < 2 {
+		return nil, nil
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text, p.Legend.Top = title, "s", unit, true
+	for n, l := range lines {
+		var at plotter.XYs
+		seconds := c.Timelines[l.side]
+		for x, s := range seconds[:len(seconds)-1] { // the last one is not whole
+			at = append(at, plotter.XY{X: float64(x), Y: float64(l.of(s))})
+		}
+		drawn, err := plotter.NewLine(at)
+		if err != nil {
+			return nil, err
+		}
+		drawn.Color, drawn.Dashes = plotutil.Color(n), plotutil.Dashes(l.side*2)
+		p.Add(drawn)
+		p.Legend.Add(l.name, drawn)
+	}
+	return p, nil
+}
+
+func (c *Comparison) curve() (*plot.Plot, error) {
+	if c.Curve == nil {
+		return nil, nil
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Worth in time against load", "times the scenario's load", "of what was asked"
+	p.Y.Min, p.Y.Max = 0, 1
+	for n, name := range c.Curve.Names {
+		var at plotter.XYs
+		var bars plotter.YErrors
+		for i, e := range c.Curve.Lines[name] {
+			at = append(at, plotter.XY{X: c.Curve.Loads[i], Y: e.Mean})
+			bars = append(bars, struct{ Low, High float64 }{e.Mean - e.Low, e.High - e.Mean})
+		}
+		drawn, err := plotter.NewLine(at)
+		if err != nil {
+			return nil, err
+		}
+		errors, err := plotter.NewYErrorBars(struct {
+			plotter.XYer
+			plotter.YErrorer
+		}{at, bars})
+		if err != nil {
+			return nil, err
+		}
+		drawn.Color, errors.Color = plotutil.Color(n), plotutil.Color(n)
+		p.Add(drawn, errors)
+		p.Legend.Add(name, drawn)
+	}
+	return p, nil
+}
