Recorder and traces: what arrives at a node, replayed in the model with clients that react

- internal/trace: protobuf records in compressed blocks with checksums; a damaged block costs itself, a cut file its last one; a generator (steady, bursts, daily, flash, sessions); a fuzz target.
- internal/recorder, `starlingvalve -record FILE`, deploy/record.toml: off by default, beside the path of a request; sampled by order, bounded in tries a second, bytes and files; tenants and orders as keyed hashes.
A full queue or disk loses records, which are counted, and no request. core.Answer.Work and front.Seen are what it needs of the path.
- model.Replay: orders, classes and works from the trace, tries again from the model's own clients; scaled for another size.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -43,7 +43,8 @@
 
 type options struct {
 	a, b, json, html, resume string
-	width                    float64
+	trace                    string
+	width, scale             float64
 	pairs, runs, workers     int
 	budget                   time.Duration
 	seed                     uint64
@@ -71,6 +72,8 @@
 	f.StringVar(&o.json, "json", "", "write the figures to this `FILE`")
 	f.StringVar(&o.html, "html", "", "write a page with plots to this `FILE`")
 	f.StringVar(&o.resume, "resume", "", "keep the pairs in this `FILE`, and go on from those in it")
+	f.StringVar(&o.trace, "trace", "", "play the orders of this `FILE` in place of the scenario's")
+	f.Float64Var(&o.scale, "trace-scale", 1, "orders for each of the trace's, for a fleet of another size")
 	f.BoolVar(&o.gate, "gate", false, "exit with status 3 if b is worse")
 	compare.MarkFlagRequired("b")
 
@@ -85,7 +88,7 @@
 	f.StringVar(&o.json, "json", "", "write the figures to this `FILE`")
 	f.StringVar(&o.html, "html", "", "write a page with plots to this `FILE`")
 
-	root.AddCommand(compare, curve,
+	root.AddCommand(compare, curve, o.traceCommand(),
 		&cobra.Command{Use: "policies", Short: "List what can decide, and where it comes from", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 			for _, p := range model.Policies() {
 				fmt.Fprintf(out, "%-14s %s\n", p.Name, p.Source)
@@ -129,6 +132,13 @@
 	if err != nil {
 		return err
 	}
+	depends := []string{path, o.a, o.b}
+	if o.trace != "" {
+		if sc, err = o.replayed(sc, o.trace, o.scale, o.out); err != nil {
+			return err
+		}
+		depends = append(depends, o.trace, fmt.Sprint(o.scale))
+	}
 	var sides [2]*model.Scenario
 	for i, name := range []string{o.a, o.b} {
 		v, err := model.FindVersion(name)
@@ -148,7 +158,7 @@
 	plan := experiment.Plan{Measures: sc.Measures(), A: values(sides[0]), B: values(sides[1]), Width: o.width, Most: o.pairs, Budget: o.budget, First: o.seed, Workers: o.workers,
 		Progress: func(done, wanted int) { fmt.Fprintf(o.progress, "\r%d of %d pairs ", done, wanted) }}
 	if o.resume != "" {
-		j, err := openJournal(o.resume, append([]string{path}, o.a, o.b), sc.Measures())
+		j, err := openJournal(o.resume, depends, sc.Measures())
 		if err != nil {
 			return err
 		}
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -114,3 +114,43 @@
 		}
 	}
 }
+
+// A generated trace can be looked into, made anonymous and replayed; a damaged one is told of in one line and used as far as it goes.
+func TestTraces(t *testing.T) {
+	sc, dir := write(t, "s.toml", scenario), t.TempDir()
+	made, hidden := filepath.Join(dir, "t"), filepath.Join(dir, "h")
+	if _, err := run(t, "trace", "synth", sc, "-o", made, "--shape", "flash", "--sessions", "3", "--think", "100ms"); err != nil {
+		t.Fatal(err)
+	}
+	info, err := run(t, "trace", "info", made)
+	if err != nil || !strings.Contains(info, "read") || !strings.Contains(info, "unknown") {
+		t.Errorf("%v: %s", err, info)
+	}
+	if _, err := run(t, "trace", "anonymise", made, "-o", hidden); err != nil {
+		t.Fatal(err)
+	}
+	before, err1 := run(t, "trace", "cat", made)
+	after, err2 := run(t, "trace", "cat", hidden)
+	if err1 != nil || err2 != nil || before == after || strings.Count(before, "\n") != strings.Count(after, "\n") {
+		t.Errorf("%v, %v, %d and %d bytes", err1, err2, len(before), len(after))
+	}
+	same, err := run(t, "compare", sc, "-b", "module", "--trace", hidden, "--pairs", "10")
+	if err != nil || !strings.Contains(same, "orders in") || !strings.Contains(same, "left out: 0 tries again") {
+		t.Errorf("%v: %s", err, same)
+	}
+	raw, err := os.ReadFile(made)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told bytes.Buffer
+	c := command(io.Discard, &told)
+	c.SetArgs([]string{"trace", "info", write(t, "cut", string(raw[:len(raw)-5]))})
+	if err := c.ExecuteContext(t.Context()); err != nil || strings.Count(told.String(), "\n") != 1 || !strings.Contains(told.String(), "cut within the block") {
+		t.Errorf("%v: %q", err, told.String())
+	}
+	for want, args := range map[string][]string{"--shape": {"trace", "synth", sc, "-o", made, "--shape", "odd"}, "this is no trace": {"trace", "info", sc}, "want a scale": {"compare", sc, "-b", "random", "--trace", hidden, "--trace-scale", "0"}} {
+		if _, err := run(t, args...); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: %v, want %q", args, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/rehearse/trace.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/spf13/cobra"
+
+	"starlingvalve/internal/model"
+	"starlingvalve/internal/trace"
+)
+
+// traceCommand is everything about trace files.
+func (o *options) traceCommand() *cobra.Command {
+	root := &cobra.Command{Use: "trace", Short: "Look into recorded traffic, make it anonymous, generate it"}
+	var shape, to string
+	var length, think time.Duration
+	var rate, sessions float64
+	var seed uint64
+	synth := &cobra.Command{Use: "synth SCENARIO", Short: "Generate a trace with a scenario's classes", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		sc, err := model.LoadScenario(args[0])
+		if err != nil {
+			return err
+		}
+		s := trace.Synth{Length: length, Rate: rate, Shape: trace.Shape(shape), Sessions: sessions, Think: think, Seed: seed}
+		if !slices.Contains(trace.Shapes, s.Shape) {
+			return fmt.Errorf("--shape: want one of %v, have %q", trace.Shapes, shape)
+		}
+		if length == 0 {
+			s.Length = sc.Length
+		}
+		if rate == 0 {
+			s.Rate = sc.Rate
+		}
+		for _, c := range sc.Classes {
+			s.Classes = append(s.Classes, trace.SynthClass{Name: c.Name, Share: c.Share, Work: c.Work, WorkCV: c.WorkCV, Patience: c.Deadline})
+		}
+		return writeTrace(to, s.Generate)
+	}}
+	f := synth.Flags()
+	f.StringVarP(&to, "out", "o", "", "write to this `FILE`")
+	f.StringVar(&shape, "shape", "steady", fmt.Sprintf("how the rate goes: one of %v", trace.Shapes))
+	f.DurationVar(&length, "length", 0, "of the trace; 0: the scenario's")
+	f.Float64Var(&rate, "rate", 0, "orders a second; 0: the scenario's")
+	f.Float64Var(&sessions, "sessions", 0, "mean orders of a session; 0: no sessions")
+	f.DurationVar(&think, "think", time.Second, "mean time between a session's orders")
+	f.Uint64Var(&seed, "seed", 1, "")
+	synth.MarkFlagRequired("out")
+	var anonymous string
+	anonymise := &cobra.Command{Use: "anonymise FILE", Short: "Write it with new hashes for tenants and orders, under a key that is thrown away", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var key [16]byte
+			if _, err := rand.Read(key[:]); err != nil {
+				return err
+			}
+			again := func(v uint64) uint64 {
+				if v == 0 {
+					return 0
+				}
+				return xxhash.Sum64(binary.LittleEndian.AppendUint64(key[:], v)) | 1
+			}
+			return writeTrace(anonymous, func(each func(*trace.Record) error) error {
+				return o.readTrace(args[0], func(r *trace.Record) error {
+					r.Tenant, r.Order = again(r.Tenant), again(r.Order)
+					return each(r)
+				})
+			})
+		}}
+	anonymise.Flags().StringVarP(&anonymous, "out", "o", "", "write to this `FILE`")
+	anonymise.MarkFlagRequired("out")
+	root.AddCommand(synth, anonymise,
+		&cobra.Command{Use: "cat FILE", Short: "Print the records as JSON lines", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			out := bufio.NewWriter(o.out)
+			lines := json.NewEncoder(out)
+			return errors.Join(o.readTrace(args[0], func(r *trace.Record) error { return lines.Encode(r) }), out.Flush())
+		}},
+		&cobra.Command{Use: "info FILE", Short: "Tell what a trace holds", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error { return o.traceInfo(args[0]) }})
+	return root
+}
+
+// readTrace hands on what can be read of a trace; what can't is told in one line and is no error.
+func (o *options) readTrace(path string, each func(*trace.Record) error) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	err = trace.Read(f, each)
+	var damage *trace.Damage
+	if errors.As(err, &damage) {
+		fmt.Fprintf(o.progress, "%s: %v; the rest is good\n", path, damage)
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+func writeTrace(path string, all func(each func(*trace.Record) error) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	w, err := trace.NewWriter(f)
+	if err == nil {
+		err = all(w.Write)
+	}
+	if err == nil {
+		err = w.Flush()
+	}
+	return errors.Join(err, f.Close())
+}
+
+func (o *options) traceInfo(path string) error {
+	type sums struct {
+		tries, orders int
+		work          time.Duration
+		worked        int
+		outcomes      map[trace.Outcome]int
+	}
+	classes := map[string]*sums{}
+	var last time.Duration
+	all := 0
+	err := o.readTrace(path, func(r *trace.Record) error {
+		s := classes[r.Class]
+		if s == nil {
+			s = &sums{outcomes: map[trace.Outcome]int{}}
+			classes[r.Class] = s
+		}
+		all++
+		s.tries++
+		if !r.Repeat {
+			s.orders++
+		}
+		if r.Work > 0 {
+			s.work, s.worked = s.work+r.Work, s.worked+1
+		}
+		s.outcomes[r.Outcome]++
+		last = max(last, r.At)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "%s: %d tries in %v\n", path, all, last.Round(time.Millisecond))
+	var names []string
+	for name := range classes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "class\ttries\tfirst tries\tmean work seen\toutcomes")
+	for _, name := range names {
+		s := classes[name]
+		work := "-"
+		if s.worked > 0 {
+			work = (s.work / time.Duration(s.worked)).Round(time.Microsecond).String()
+		}
+		var ends []string
+		for out := trace.Unknown; out <= trace.Gone; out++ {
+			if n := s.outcomes[out]; n > 0 {
+				ends = append(ends, fmt.Sprintf("%d %v", n, out))
+			}
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\n", name, s.tries, s.orders, work, strings.Join(ends, ", "))
+	}
+	return w.Flush()
+}
+
+// replayed gives the scenario with the orders of a trace, and tells what of it is played.
+func (o *options) replayed(sc *model.Scenario, path string, scale float64, tell io.Writer) (*model.Scenario, error) {
+	var records []trace.Record
+	if err := o.readTrace(path, func(r *trace.Record) error { records = append(records, *r); return nil }); err != nil {
+		return nil, err
+	}
+	c, info, err := sc.Replay(records, scale)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	fmt.Fprintf(tell, "%s: %d orders in %v; left out: %d tries again, %d of other classes\n", path, info.Orders, c.Length.Round(time.Millisecond), info.Repeats, info.Unknown)
+	return c, nil
+}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -58,7 +58,8 @@
 	"rehearse": {"scenarios in the model: the module beside baselines, with error bars", rehearse, func(fs *pflag.FlagSet, o *options) {
 		fs.StringVar(&o.scenarios, "scenarios", "deploy/scenarios", "`folder` of scenario files")
 	}},
-	"rules": {"the four rules under drains, cold starts, silent servers and overload", rules, nil},
+	"record": {"what recording traffic costs, beside the same node without", recordRig, nil},
+	"rules":  {"the four rules under drains, cold starts, silent servers and overload", rules, nil},
 }
 
 func main() {
--- /dev/null
+++ b/cmd/rig/record.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"starlingvalve/internal/standin"
+	"starlingvalve/internal/trace"
+)
+
+const leastRecorded = 0.98 // requests a second with the recorder, over those without
+
+// recordRig measures what recording costs: two nodes on one core in turn, one of which records all that arrives.
+func recordRig(ctx context.Context, o *options) error {
+	w, err := newWorkshop(ctx, o.binary)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	rounds, window := 11, 2*time.Second
+	if o.quick {
+		rounds, window = 7, time.Second
+	}
+	f, err := newFleet(tableServers, 0, 0, map[string]standin.Work{scaleClass.Name: {Bytes: answerBytes}})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	f.setLog(false)
+	into := filepath.Join(w.dir, "traffic")
+	file := filepath.Join(w.dir, "record.toml")
+	text := fmt.Sprintf("[record]\npath = %q\nper_second = 100000\nfiles = 1\nkey = \"00112233445566778899aabbccddeeff\"\n", into)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	var nodes [2]*node
+	for i := range nodes {
+		opts := nodeOptions{name: fmt.Sprint("record", i), registry: f.registry.Addr, classes: []standin.Class{scaleClass}, memoryMB: 192, sockets: 1024, zone: "hall-a", coldFrom: 0.3, coldTime: time.Second}
+		if i == 1 {
+			opts.args = []string{"-record", file}
+		}
+		if nodes[i], err = w.node(ctx, w.binary, opts); err != nil {
+			return err
+		}
+		if err := onCore(nodes[i].cmd.Process.Pid, runtime.NumCPU()-1); err != nil {
+			return err
+		}
+	}
+	r := &scaleRig{options: o}
+	var ratios, costs []float64
+	for range rounds {
+		var rate, cpu [2]float64
+		for i, n := range nodes {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			before := n.cpu()
+			s := r.closed(ctx, n, []standin.Class{scaleClass}, 64, window, nil)
+			rate[i] = float64(s.Served)
+			cpu[i] = float64(n.cpu()-before) / float64(max(1, s.Served))
+		}
+		ratios, costs = append(ratios, rate[1]/max(rate[0], 1)), append(costs, cpu[1]/max(cpu[0], 1))
+	}
+	nodes[1].stop()
+	o.out.figure("record.rate", median(ratios), "times the requests a second without recording, median of the rounds")
+	o.out.figure("record.cpu", median(costs), "times the processor time a request, median of the rounds")
+	records := 0
+	from, err := os.Open(into)
+	if err != nil {
+		return err
+	}
+	defer from.Close()
+	err = trace.Read(from, func(*trace.Record) error { records++; return nil })
+	size, _ := from.Stat()
+	o.out.figure("record.records", records, "tries recorded")
+	o.out.figure("record.bytes", float64(size.Size())/float64(max(1, records)), "bytes a try")
+	o.out.promise(err == nil && records > 0, "the trace is whole: %v", err)
+	o.out.promise(median(ratios) >= leastRecorded, "with recording at least %.2f of the requests a second", leastRecorded)
+	return nil
+}
--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -10,6 +10,7 @@
 	"math"
 	"os"
 	"os/signal"
+	"regexp"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -21,6 +22,7 @@
 	"starlingvalve/internal/app"
 	"starlingvalve/internal/gateway"
 	"starlingvalve/internal/logqueue"
+	"starlingvalve/internal/recorder"
 )
 
 const (
@@ -43,15 +45,26 @@
 }
 
 func command(log io.Writer) *cobra.Command {
-	var file string
+	var file, record string
 	root := &cobra.Command{Use: "starlingvalve", Short: "A load-balancing proxy node and gateway between sites",
 		Long: "A load-balancing proxy node. GW_CONFIG names its configuration; GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file.",
 		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
-		RunE: func(*cobra.Command, []string) error { return run(file, slog.New(slog.NewTextHandler(log, nil))) }}
+		RunE: func(*cobra.Command, []string) error {
+			return run(file, record, slog.New(slog.NewTextHandler(log, nil)))
+		}}
 	root.Flags().StringVar(&file, "gateway", "", "hand work to other sites as this `FILE` says (see deploy/gateway.toml)")
+	root.Flags().StringVar(&record, "record", "", "record what arrives as this `FILE` says (see deploy/record.toml)")
 	root.AddCommand(
-		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway file, certificates included", Args: cobra.ExactArgs(1),
+		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway file, certificates included, or of a record file", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
+				if isRecord(args[0]) {
+					r, err := recorder.Load(args[0])
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(c.OutOrStdout(), "%s: good: records to %s\n", args[0], r.Path)
+					return nil
+				}
 				g, err := gateway.Load(args[0], time.Now())
 				if err != nil {
 					return err
@@ -66,6 +79,12 @@
 	return root
 }
 
+// isRecord tells whether a file is a record file, by its table.
+func isRecord(path string) bool {
+	text, err := os.ReadFile(path)
+	return err == nil && regexp.MustCompile(`(?m)^\s*\[record\]`).Match(text)
+}
+
 // dashes lets long flags have one dash, as in -gateway FILE.
 func dashes(args []string) []string {
 	out := append([]string(nil), args...)
@@ -73,7 +92,7 @@
 		if a == "--" {
 			break
 		}
-		if strings.HasPrefix(a, "-gateway") {
+		if strings.HasPrefix(a, "-gateway") || strings.HasPrefix(a, "-record") {
 			out[i] = "-" + a
 		}
 	}
@@ -94,7 +113,7 @@
 	return v + " " + info.GoVersion
 }
 
-func run(gatewayFile string, log *slog.Logger) error {
+func run(gatewayFile, recordFile string, log *slog.Logger) error {
 	reload := make(chan os.Signal, 1) // first of all: a SIGHUP that nothing catches ends the process
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -103,6 +122,11 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	if recordFile != "" {
+		if c.Record, err = recorder.Load(recordFile); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 	"unsafe"
+
+	"starlingvalve/internal/trace"
 )
 
 // The test binary is the program when this is set.
@@ -178,3 +180,73 @@
 		t.Error("end:", err)
 	}
 }
+
+// With a record file, what arrives is on disk once the node has ended, and no header of it is.
+func TestRecordsWhatArrives(t *testing.T) {
+	discovery, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer discovery.Close()
+	dir := t.TempDir()
+	file := filepath.Join(dir, "record.toml")
+	if err := os.WriteFile(file, []byte("[record]\npath = \"traffic\"\nkey = \"00112233445566778899aabbccddeeff\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	check, log := program(t, "")
+	check.Args = append(check.Args, "check", file)
+	if out, err := check.Output(); err != nil || !strings.Contains(string(out), "good: records to") {
+		t.Errorf("check: %q, %v, %s", out, err, log)
+	}
+	cmd, _ := program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{
+		"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"dedup","key_scope":"cell","dedup_window_ns":1000000000}]}}`, discovery.Addr()))
+	cmd.Args = append(cmd.Args, "-record", file)
+	cmd.Stderr = nil
+	pipe, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	guard := time.AfterFunc(time.Minute, func() { cmd.Process.Kill() })
+	defer guard.Stop()
+	lines := bufio.NewScanner(pipe)
+	lines.Scan()
+	_, rest, _ := strings.Cut(lines.Text(), "listen=")
+	listen, _, _ := strings.Cut(rest, " ")
+	for i, repeat := range []string{"", "1", ""} {
+		req, err := http.NewRequest("POST", "http://"+listen+"/c/orders", strings.NewReader("twelve bytes"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header = http.Header{"X-Correlation-Id": {fmt.Sprint("id-", i)}, "X-Time-Left": {"0.5"}, "X-Account": {"acme"}, "X-Repeat": {repeat}, "Idempotency-Key": {fmt.Sprint("key-", i/2)}}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable { // no server is listed
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	for lines.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	raw, err := os.ReadFile(filepath.Join(dir, "traffic"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	records, err := trace.ReadAll(raw)
+	if err != nil || len(records) != 3 {
+		t.Fatalf("%+v, %v", records, err)
+	}
+	for i, r := range records {
+		if r.Class != "c" || r.Outcome != trace.Refused || r.Repeat != (i == 1) || r.Size != 12 || r.Patience != 500*time.Millisecond || (r.Order == records[0].Order) != (i < 2) || r.Tenant == 0 {
+			t.Errorf("%d: %+v", i, r)
+		}
+	}
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 	"starlingvalve/internal/front/http1"
 	"starlingvalve/internal/member/registry"
 	"starlingvalve/internal/peer"
+	"starlingvalve/internal/recorder"
+	"starlingvalve/internal/trace"
 	upstream "starlingvalve/internal/upstream/http1"
 )
 
@@ -73,6 +76,15 @@
 		return err
 	}
 	handler := front.NewHandler(loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
+	if c.Record != nil {
+		keeper := recorder.New(c.Record, log)
+		handler.Seen = func(s *front.Seen) { keeper.Take(tryOf(s)) }
+		recording, stopRecording := context.WithCancel(context.Background())
+		var writing sync.WaitGroup
+		writing.Go(func() { keeper.Run(recording) })
+		defer writing.Wait() // once all that was taken has been answered, and seen
+		defer stopRecording()
+	}
 	var clientFront core.Front = http1.New(tcp, clients, handler, log)
 
 	var running sync.WaitGroup
@@ -119,6 +131,25 @@
 	return err
 }
 
+// tryOf is a request as the recorder takes it.
+func tryOf(s *front.Seen) *recorder.Try {
+	e := &s.Request.Arrived
+	t := &recorder.Try{Began: s.Began, Class: e.Class, Tenant: e.Tenant, Order: s.Request.Header.Get("Idempotency-Key"), Size: len(s.Request.Body), Answer: len(s.Answer.Body),
+		Repeat: e.Repeat, Outcome: trace.Failed, Took: s.Took, Work: s.Answer.Work, Patience: s.Patience}
+	if t.Order == "" {
+		t.Order = string(e.ID)
+	}
+	switch {
+	case s.Gone:
+		t.Outcome = trace.Gone
+	case s.Answer.Status == http.StatusOK:
+		t.Outcome = trace.Served
+	case s.Answer.Status == http.StatusServiceUnavailable, s.Answer.Status == http.StatusTooManyRequests:
+		t.Outcome = trace.Refused
+	}
+	return t
+}
+
 // drainTime is how long after SIGTERM the last answers have left: before the node may be killed.
 func (c *Config) drainTime() time.Duration {
 	return min(c.Settings.LongestDeadline(), drainLongest) + killAfter - killMargin
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -14,6 +14,7 @@
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/gateway"
 	"starlingvalve/internal/member/registry"
+	"starlingvalve/internal/recorder"
 	"starlingvalve/internal/wire"
 )
 
@@ -36,7 +37,8 @@
 	Peers    []netip.AddrPort
 	Known    core.List // the backends as this node last had them
 	Settings decide.Settings
-	Gateway  *gateway.Config // nil: nothing crosses
+	Gateway  *gateway.Config  // nil: nothing crosses
+	Record   *recorder.Config // nil: nothing is recorded
 
 	reread func() (*Config, error)
 }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -368,7 +368,7 @@
 	switch {
 	case r.over:
 	case res.Code == decide.OK:
-		r.answer <- Answer{Status: http.StatusOK, Header: res.Header, Body: res.Body}
+		r.answer <- Answer{Status: http.StatusOK, Header: res.Header, Body: res.Body, Work: time.Since(t.sent)}
 		r.over = true
 	case res.Client > 0: // the backend can't use the request: no other could, and it is not to blame
 		r.answer <- Answer{Status: res.Client}
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -134,6 +134,7 @@
 	Body    []byte
 	HoldOff time.Duration // when the client may come back; 0: not told
 	Reason  decide.Reason // of a refusal
+	Work    time.Duration // how long the attempt that served it took; 0: none of ours did
 }
 
 // Request is a client's request as a front has read it, checked.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -37,6 +37,9 @@
 	// Foreign requests come from another site: they are served from what this one has to spare, and keyed ones are not
 	// taken, as the servers here have not seen the keys that those of their own site have.
 	Foreign bool
+	// Seen, if set, is told of each request that was handed to the loop, once its client has been answered or has gone. It must not
+	// block.
+	Seen func(*Seen)
 
 	loop      *core.Loop
 	log       *slog.Logger
@@ -50,6 +53,16 @@
 	maxBodies int64
 }
 
+// Seen is a request that is over.
+type Seen struct {
+	Request  *core.Request
+	Answer   core.Answer
+	Gone     bool // the client has gone: there was no answer
+	Began    time.Time
+	Took     time.Duration // until the final answer was there
+	Patience time.Duration // of the client, by its header
+}
+
 // NewHandler makes a handler that holds at most so many bytes of bodies.
 func NewHandler(l *core.Loop, s decide.Settings, maxBodies int64, log *slog.Logger) *Handler {
 	f := &Handler{loop: l, log: log, classes: map[string]decide.Class{}, longest: s.LongestDeadline(), maxOpen: math.MaxInt64, maxBodies: maxBodies}
@@ -121,7 +134,12 @@
 	if end := f.drainEnd.Load(); end != nil && req.Deadline.After(*end) {
 		req.Deadline = *end
 	}
+	began := time.Now()
 	a, ok := f.loop.Do(r.Context(), req)
+	if f.Seen != nil {
+		seen := &Seen{Request: req, Answer: a, Gone: !ok, Began: began, Took: time.Since(began), Patience: patience}
+		defer func() { f.Seen(seen) }() // not before the client has its answer
+	}
 	if !ok {
 		// It has closed its connection, or its own direction only: then it is told that nothing comes.
 		reject(w, http.StatusBadRequest, "the client has closed")
--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -54,6 +54,8 @@
 	Policy   Policy // what decides at each node; its zero value: the module
 	Salt     string // of the deciders' own random numbers: versions that are compared have different ones
 	Faults   []Fault
+
+	arrivals []arrival // in the place of orders at Rate: see Replay
 }
 
 // Fault is something that befalls a server.
@@ -191,20 +193,37 @@
 	}
 	arrivals, classes := f.streams.Of("clients", "arrivals"), f.streams.Of("clients", "classes")
 	works, nodes, manners := f.streams.Of("clients", "work"), f.streams.Of("clients", "node"), f.streams.Of("clients", "manners")
-	var arrive func()
-	arrive = func() {
-		if f.Now() >= sc.Length {
-			return
-		}
-		c := f.pick(classes)
-		o := &order{number: f.Orders, class: c, began: f.Now(), deadline: f.Now() + c.Deadline, node: nodes.IntN(sc.Nodes), work: works.LogNormal(c.Work, c.WorkCV).Seconds(),
+	come := func(c *Class, work time.Duration) {
+		o := &order{number: f.Orders, class: c, began: f.Now(), deadline: f.Now() + c.Deadline, node: nodes.IntN(sc.Nodes), work: work.Seconds(),
 			heedless: manners.Chance(sc.Heedless)}
 		f.Orders++
 		f.Asked += c.Worth
 		f.ofClass[c].Orders++
 		f.second().Orders++
 		f.try(o)
-		f.After(arrivals.Exp(time.Duration(float64(time.Second)/sc.Rate)), arrive)
+	}
+	var arrive func()
+	next := 0
+	arrive = func() {
+		switch {
+		case f.Now() >= sc.Length:
+		case sc.arrivals == nil:
+			c := f.pick(classes)
+			come(c, works.LogNormal(c.Work, c.WorkCV))
+			f.After(arrivals.Exp(time.Duration(float64(time.Second)/sc.Rate)), arrive)
+		default:
+			for ; next < len(sc.arrivals) && sc.arrivals[next].at <= f.Now(); next++ {
+				a := sc.arrivals[next]
+				c, work := &sc.Classes[a.class], a.work
+				if work == 0 {
+					work = works.LogNormal(c.Work, c.WorkCV)
+				}
+				come(c, work)
+			}
+			if next < len(sc.arrivals) {
+				f.At(sc.arrivals[next].at, arrive)
+			}
+		}
 	}
 	f.At(0, arrive)
 	return f
--- /dev/null
+++ b/internal/model/replay_test.go
@@ -0,0 +1,66 @@
+package model
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/trace"
+)
+
+func recorded(n int, apart time.Duration, class string, work time.Duration) (records []trace.Record) {
+	for i := range n {
+		records = append(records, trace.Record{At: time.Duration(i) * apart, Class: class, Order: uint64(i + 1), Work: work})
+	}
+	return records
+}
+
+// Orders come as recorded, tries again do not: those of the run are its own clients'.
+func TestReplayReacts(t *testing.T) {
+	sc := sunday(0.5)
+	records := recorded(500, 10*time.Millisecond, "viewer-clip", 60*time.Millisecond)
+	for i := range 300 { // an outage's
+		records = append(records, trace.Record{At: time.Duration(i) * 10 * time.Millisecond, Class: "viewer-clip", Order: uint64(i + 1)},
+			trace.Record{At: time.Duration(i) * 10 * time.Millisecond, Class: "viewer-clip", Order: uint64(10_000 + i), Repeat: true})
+	}
+	c, info, err := sc.Replay(records, 1)
+	if err != nil || info.Orders != 500 || info.Repeats != 600 || info.Unknown != 0 {
+		t.Fatalf("%+v, %v", info, err)
+	}
+	calm := Play(c, 1)
+	if calm.Orders != 500 || calm.Tries != 500 || calm.Served != 500 || calm.Executions != 500 {
+		t.Errorf("a calm replay: %+v", calm)
+	}
+	if Play(c, 1) != calm || sc.arrivals != nil || sc.Length != 20*time.Second {
+		t.Error("not the same run again, or the scenario itself has changed")
+	}
+	for i := range c.Servers {
+		c.Servers[i].Speed = 0.05
+	}
+	if over := Play(c, 1); over.Orders != 500 || over.Tries <= 520 || over.Refused == 0 {
+		t.Errorf("with servers that are too slow: %+v", over)
+	}
+}
+
+// A trace of a fleet of another size is scaled by orders, and its length is the run's if that is shorter.
+func TestReplayScales(t *testing.T) {
+	sc := sunday(0.5)
+	records := recorded(2000, 5*time.Millisecond, "viewer-clip", 0)
+	for scale, want := range map[float64]int{0.5: 1000, 1: 2000, 2.5: 5000} {
+		c, info, err := sc.Replay(records, scale)
+		if err != nil || info.Orders < want*95/100 || info.Orders > want*105/100 || c.Length > 10*time.Second {
+			t.Errorf("scale %v: %+v, %v, length %v", scale, info, err, c.Length)
+		}
+		if s := Play(c, 2); s.Orders != info.Orders {
+			t.Errorf("scale %v: %d orders, %d announced", scale, s.Orders, info.Orders)
+		}
+	}
+	for want, bad := range map[string][]trace.Record{"of classes that the scenario lacks (other)": recorded(3, time.Second, "other", 0), "nothing to play": nil} {
+		if _, _, err := sc.Replay(bad, 1); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+	if _, _, err := sc.Replay(records, 0); err == nil {
+		t.Error("scale 0 is taken")
+	}
+}
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,195 @@
+package recorder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/trace"
+)
+
+func config(t *testing.T) *Config {
+	return &Config{Path: filepath.Join(t.TempDir(), "traffic"), FileBytes: 1 << 20, Files: 3, Sample: 1, PerSecond: 100_000, Key: []byte("0123456789abcdef")}
+}
+
+// record plays with a recorder that is running, and ends it.
+func record(r *Recorder, play func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	work.Go(func() { r.Run(ctx) })
+	play()
+	cancel()
+	work.Wait()
+}
+
+func try(i int) *Try {
+	return &Try{Began: time.Now(), Class: "read", Tenant: "acme", Order: fmt.Sprint("order ", i/2), Repeat: i%2 == 1, Outcome: trace.Served, Took: time.Millisecond}
+}
+
+func read(t *testing.T, path string) (records []trace.Record) {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	records, err = trace.ReadAll(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return records
+}
+
+// What is taken is written, without a name in it; an order's tries have one hash, under another key another one.
+func TestRecords(t *testing.T) {
+	c := config(t)
+	r := New(c, slog.New(slog.DiscardHandler))
+	record(r, func() {
+		for i := range 1000 {
+			r.Take(try(i))
+		}
+	})
+	records := read(t, c.Path)
+	if written, lost := r.Counts(); len(records) != 1000 || written != 1000 || lost != 0 {
+		t.Fatalf("%d read, %d written, %d lost", len(records), written, lost)
+	}
+	for i := 0; i < 1000; i += 2 {
+		if a, b := records[i], records[i+1]; a.Order != b.Order || a.Repeat || !b.Repeat || a.Tenant == 0 || a.Tenant != records[0].Tenant || i > 0 && a.Order == records[i-1].Order {
+			t.Fatalf("%+v, %+v", a, b)
+		}
+	}
+	raw, _ := os.ReadFile(c.Path)
+	if bytes.Contains(raw, []byte("acme")) {
+		t.Error("a tenant's name is in the file")
+	}
+	other := *c
+	other.Key = []byte("fedcba9876543210")
+	if New(&other, nil).hash("acme") == r.hash("acme") {
+		t.Error("the key does not count")
+	}
+	(*Recorder)(nil).Take(try(0))
+}
+
+// A part of the orders is recorded with all its tries; more than the limit is lost and counted.
+func TestSampledByOrder(t *testing.T) {
+	c := config(t)
+	c.Sample = 0.25
+	r := New(c, slog.New(slog.DiscardHandler))
+	record(r, func() {
+		for i := range 3000 {
+			r.Take(try(i))
+		}
+	})
+	records := read(t, c.Path)
+	tries := map[uint64]int{}
+	for _, x := range records {
+		tries[x.Order]++
+	}
+	if len(records) < 600 || len(records) > 900 || len(tries)*2 != len(records) {
+		t.Errorf("%d tries of %d orders, of 3000 and 1500", len(records), len(tries))
+	}
+	c = config(t)
+	c.PerSecond = 10
+	r = New(c, slog.New(slog.DiscardHandler))
+	began := time.Now()
+	record(r, func() {
+		for i := range 1000 {
+			x := try(i)
+			x.Began = began // however slow this machine is
+			r.Take(x)
+		}
+	})
+	if written, lost := r.Counts(); written != 10 || lost != 990 {
+		t.Errorf("%d written, %d lost", written, lost)
+	}
+}
+
+// Old traces are kept up to the number, and each is whole.
+func TestRotates(t *testing.T) {
+	c := config(t)
+	c.FileBytes = 4000
+	r := New(c, slog.New(slog.DiscardHandler))
+	record(r, func() {
+		for i := range 20_000 {
+			for before := len(r.tries); before > queue/2; before = len(r.tries) {
+				time.Sleep(time.Millisecond)
+			}
+			r.Take(try(i))
+		}
+	})
+	files, err := filepath.Glob(c.Path + "*")
+	if err != nil || len(files) != 3 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	for _, f := range files {
+		if len(read(t, f)) == 0 {
+			t.Errorf("%s is empty", f)
+		}
+	}
+	if written, lost := r.Counts(); written != 20_000 || lost != 0 {
+		t.Errorf("%d written, %d lost", written, lost)
+	}
+}
+
+type badDisk struct{ io.WriteCloser }
+
+func (badDisk) Write([]byte) (int, error) { return 0, errors.New("no space left on device") }
+func (badDisk) Close() error              { return nil }
+
+// A disk that is full costs records, which are counted, and holds up nobody; a file that can't be made too.
+func TestFullDiskHoldsUpNobody(t *testing.T) {
+	for name, create := range map[string]func(string) (io.WriteCloser, error){
+		"no room": func(string) (io.WriteCloser, error) { return badDisk{}, nil },
+		"no file": func(string) (io.WriteCloser, error) { return nil, errors.New("read-only file system") },
+	} {
+		r := New(config(t), slog.New(slog.DiscardHandler))
+		r.create = create
+		record(r, func() {
+			for i := range 10_000 {
+				r.Take(try(i))
+			}
+		})
+		if written, lost := r.Counts(); written != 0 || lost != 10_000 {
+			t.Errorf("%s: %d written, %d lost of 10,000", name, written, lost)
+		}
+	}
+	r := New(config(t), slog.New(slog.DiscardHandler)) // nobody writes at all
+	for i := range queue + 100 {
+		r.Take(try(i))
+	}
+	if _, lost := r.Counts(); lost != 100 {
+		t.Errorf("%d lost, want what the queue can't hold", lost)
+	}
+}
+
+func TestConfig(t *testing.T) {
+	if c, err := Load("../../deploy/record.toml"); err != nil || c.Files != 4 || c.Path != filepath.Join("../../deploy", "traffic.trace") {
+		t.Errorf("%+v, %v", c, err)
+	}
+	const good = "[record]\npath = \"t\"\nkey = \"00112233445566778899aabbccddeeff\"\n"
+	for text, want := range map[string]string{"[record]\npath = \"t\"\nkey = \"0011\"": "f:3: record.key", "[record]\nkey = \"00112233445566778899aabbccddeeff\"": "record.path",
+		good + "sample = 1.5": "f:4: record.sample", good + "files = 0": "f:4: record.files", good + "file_bytes = 1": "f:4: record.file_bytes", good + "per_second = 0.5": "f:4: record.per_second",
+		good + "speed = 1": "f:4"} {
+		if _, err := parse("f", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) && !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	c := &Config{Path: filepath.Join(b.TempDir(), "t"), FileBytes: 1 << 30, Files: 1, Sample: 1, PerSecond: mostPerSecond, Key: []byte("0123456789abcdef")}
+	r := New(c, slog.New(slog.DiscardHandler))
+	x := try(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Take(x)
+	}
+}
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,138 @@
+package trace
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func written(t testing.TB, records []Record) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	w, err := NewWriter(&out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range records {
+		if err := w.Write(&records[i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+// What is written is read, whatever it is.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		us := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(time.Hour/time.Microsecond)).Draw(rt, name)) * time.Microsecond
+		}
+		var want []Record
+		for range rapid.IntRange(0, 50).Draw(rt, "records") {
+			want = append(want, Record{At: us("at"), Class: rapid.StringN(0, 20, classMost).Draw(rt, "class"), Tenant: rapid.Uint64().Draw(rt, "tenant"),
+				Order: rapid.Uint64().Draw(rt, "order"), Size: rapid.IntRange(0, 1<<20).Draw(rt, "size"), Answer: rapid.IntRange(0, 1<<20).Draw(rt, "answer"),
+				Repeat: rapid.Bool().Draw(rt, "repeat"), Outcome: Outcome(rapid.IntRange(0, 4).Draw(rt, "outcome")), Took: us("took"), Work: us("work"), Patience: us("patience")})
+		}
+		got, err := ReadAll(written(t, want))
+		if err != nil || !reflect.DeepEqual(got, want) {
+			rt.Fatalf("%v, %v, want %v", got, err, want)
+		}
+	})
+}
+
+func many(n int) (records []Record) {
+	for i := range n {
+		records = append(records, Record{At: time.Duration(i) * time.Millisecond, Class: "read", Order: uint64(i) * 0x9e3779b97f4a7c15, Size: 200, Outcome: Served, Took: 40 * time.Millisecond})
+	}
+	return records
+}
+
+// A block that is damaged costs itself; a file that is cut, its last block. One line tells of either.
+func TestDamage(t *testing.T) {
+	records := many(20_000)
+	good := written(t, records)
+	if got, err := ReadAll(good); err != nil || len(got) != len(records) {
+		t.Fatal(len(got), err)
+	}
+	bad := bytes.Clone(good)
+	bad[len(bad)/2] ^= 1
+	got, err := ReadAll(bad)
+	var d *Damage
+	if !errors.As(err, &d) || d.Blocks != 1 || d.Cut || len(got) < len(records)*7/10 || len(got) == len(records) || strings.Contains(err.Error(), "\n") {
+		t.Errorf("one bit: %d of %d records, %v", len(got), len(records), err)
+	}
+	got, err = ReadAll(good[:len(good)-10])
+	if !errors.As(err, &d) || !d.Cut || len(got) < len(records)*7/10 || len(got) == len(records) {
+		t.Errorf("cut: %d of %d records, %v", len(got), len(records), err)
+	}
+	for text, want := range map[string]string{"": "no trace", "PK\x03\x04 something": "no trace", "SLVTRC\x00\x02": "version 2"} {
+		if _, err := ReadAll([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+// fullDisk takes so many writes and then none for a while.
+type fullDisk struct {
+	bytes.Buffer
+	writes, from, to int
+}
+
+func (d *fullDisk) Write(p []byte) (int, error) {
+	if d.writes++; d.writes > d.from && d.writes <= d.to {
+		return 0, io.ErrShortWrite
+	}
+	return d.Buffer.Write(p)
+}
+
+// A disk that is full for a while costs the blocks of that time.
+func TestFullDisk(t *testing.T) {
+	d := &fullDisk{from: 2, to: 5}
+	w, err := NewWriter(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	failed := 0
+	for _, r := range many(40_000) {
+		if w.Write(&r) != nil {
+			failed++
+		}
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadAll(d.Bytes())
+	if err != nil || failed != 3 || len(got) != w.Records || len(got) == 40_000 {
+		t.Errorf("%d failed, %d read, %d written, %v", failed, len(got), w.Records, err)
+	}
+}
+
+// A record takes few bytes.
+func TestSize(t *testing.T) {
+	if per := float64(len(written(t, many(20_000)))) / 20_000; per > 20 {
+		t.Errorf("%.1f bytes a record", per)
+	}
+}
+
+// Any bytes are read in bounded memory, with an error or records, and never a panic.
+func FuzzRead(f *testing.F) {
+	f.Add(written(f, many(3)))
+	f.Add([]byte(magic + "\x05\x00\x00\x00"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		got, err := ReadAll(text)
+		if err == nil && len(got) > 0 {
+			if again, err := ReadAll(written(t, got)); err != nil || len(again) != len(got) {
+				t.Errorf("%d records, then %d, %v", len(got), len(again), err)
+			}
+		}
+	})
+}
