--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -181,6 +181,7 @@
 	zip     *zstd.Encoder
 	raw     []byte
 	one     []byte
+	data    []byte // of the last block
 	begun   bool
 	Records int   // in blocks that have been written
 	Bytes   int64 // written
@@ -189,7 +190,7 @@
 
 // NewWriter makes a writer of a new trace.
 func NewWriter(to io.Writer) (*Writer, error) {
-	zip, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<17))
+	zip, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<17), zstd.WithEncoderLevel(zstd.SpeedFastest))
 	if err != nil {
 		return nil, err
 	}
@@ -219,7 +220,8 @@
 	}
 	n := w.held
 	if n > 0 {
-		data := w.zip.EncodeAll(w.raw, nil)
+		w.data = w.zip.EncodeAll(w.raw, w.data[:0])
+		data := w.data
 		out = binary.AppendUvarint(out, uint64(len(data)))
 		out = binary.LittleEndian.AppendUint64(out, xxhash.Sum64(data))
 		out = append(out, data...)
