--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -40,6 +40,26 @@
 	return cmd, &log
 }
 
+// begin starts the program, which ends within a minute, and gives the rest of its log and where it listens.
+func begin(t *testing.T, cmd *exec.Cmd) (lines *bufio.Scanner, listen string) {
+	t.Helper()
+	cmd.Stderr = nil
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	guard := time.AfterFunc(time.Minute, func() { cmd.Process.Kill() })
+	t.Cleanup(func() { guard.Stop() })
+	lines = bufio.NewScanner(log)
+	lines.Scan()
+	_, rest, _ := strings.Cut(lines.Text(), "listen=")
+	listen, _, _ = strings.Cut(rest, " ")
+	return lines, listen
+}
+
 func TestBadConfiguration(t *testing.T) {
 	cmd, log := program(t, `{"name":"n0"}`)
 	cmd.Run()
@@ -79,20 +99,7 @@
 	defer discovery.Close()
 	cmd, _ := program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{
 		"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`, discovery.Addr()))
-	cmd.Stderr = nil
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	guard := time.AfterFunc(time.Minute, func() { cmd.Process.Kill() })
-	defer guard.Stop()
-	lines := bufio.NewScanner(log)
-	lines.Scan()
-	_, rest, _ := strings.Cut(lines.Text(), "listen=")
-	listen, _, _ := strings.Cut(rest, " ")
+	lines, listen := begin(t, cmd)
 	client := http.Client{Timeout: 20 * time.Second}
 	resp, err := client.Get("http://" + listen + "/health/live")
 	if err != nil || resp.StatusCode != http.StatusOK {
@@ -201,20 +208,7 @@
 	cmd, _ := program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{
 		"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"dedup","key_scope":"cell","dedup_window_ns":1000000000}]}}`, discovery.Addr()))
 	cmd.Args = append(cmd.Args, "-record", file)
-	cmd.Stderr = nil
-	pipe, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	guard := time.AfterFunc(time.Minute, func() { cmd.Process.Kill() })
-	defer guard.Stop()
-	lines := bufio.NewScanner(pipe)
-	lines.Scan()
-	_, rest, _ := strings.Cut(lines.Text(), "listen=")
-	listen, _, _ := strings.Cut(rest, " ")
+	lines, listen := begin(t, cmd)
 	for i, repeat := range []string{"", "1", ""} {
 		req, err := http.NewRequest("POST", "http://"+listen+"/c/orders", strings.NewReader("twelve bytes"))
 		if err != nil {
