--- a/decide/decide.go
+++ b/decide/decide.go
@@ -125,9 +125,9 @@
 			m.close(r)
 		}
 	case MessageReceived:
-		if string(e.Data) == shortWord && e.From != m.set.Self {
-			m.heardShortAt = m.now
-		}
+		m.heard(e)
+	case ProbeEnded:
+		m.probed(e)
 	case TimerFired:
 		m.tick()
 		m.do(timer)
@@ -234,6 +234,9 @@
 		}
 		return n, math.Floor(m.high(s) + m.dither(s))
 	}
+	if m.shared() && m.fresh(s) {
+		return m.waiting(s), 1 + calmQueue + (fullQueue-calmQueue)*m.dither(s)
+	}
 	if m.least == 0 || m.aimed == 0 {
 		return s.n, 1
 	}
@@ -249,13 +252,24 @@
 	return n, math.Max(1, math.Min(math.Max(sparseQueue, sparseRoom*aimed/unit), aimed/unit))
 }
 
-func (m *Module) sparse() bool { return m.rate*validity.Seconds() < float64(len(m.near)) }
+func (m *Module) sparse() bool {
+	return m.rate*validity.Seconds() < float64(len(m.near)) || m.shared()
+}
+
+// edges gives L and R for a server's H.
+func (m *Module) edges(s *server, h float64) (low, block float64) {
+	if m.shared() && m.fresh(s) {
+		return h - 1, 1 + blockQueue
+	}
+	return lowPart * h, highPart*h + 1
+}
 
 // modeOf updates and gives a server's mode.
 func (m *Module) modeOf(s *server) Mode {
 	n, h := m.crowd(s)
+	low, block := m.edges(s, h)
 	for range 2 { // from blocking to normal there are two steps
-		s.mode = NextMode(s.mode, n, lowPart*h, h, highPart*h+1)
+		s.mode = NextMode(s.mode, n, low, h, block)
 	}
 	if m.now < s.imposedUntil && s.imposed > s.mode {
 		return s.imposed
@@ -295,6 +309,10 @@
 	q := 0.0
 	if n := m.n1 + m.n2; n > 0 {
 		q = (m.n2 + m.n1*m.fill/math.Max(1, m.visits)) / n
+		if m.shared() {
+			m.balance()
+			q = math.Min(q, m.shedNow*m.n2/n)
+		}
 	}
 	m.q1, m.q2 = ShedSplit(q, m.n1, m.n2)
 	m.recomputeOwn()
@@ -333,6 +351,9 @@
 	known := 1 - decay(m.now-m.startAt+tickEvery, rateMemory)
 	m.rate = m.arrivals * decay(m.now-m.arrivedAt, rateMemory) / known
 	want := subsetTime * m.rate
+	if m.shared() {
+		want = sharedTime * m.rate
+	}
 	was := min(len(m.ring), int(m.size))
 	if want > m.size || want < m.size/2 {
 		m.size = math.Max(want, subsetLeast) // else unchanged: a new server costs a connection
@@ -782,6 +803,12 @@
 
 // sooner is the one with the lower expected delay.
 func (m *Module) sooner(a, b *server) *server {
+	if m.shared() && m.fresh(a) && m.fresh(b) {
+		if m.speedOf(b)*(a.n+a.others+1) > m.speedOf(a)*(b.n+b.others+1) {
+			return b
+		}
+		return a
+	}
 	if (b.n+1)*m.latencyOf(b) < (a.n+1)*m.latencyOf(a) {
 		return b
 	}
@@ -955,7 +982,8 @@
 		m.place(s)
 		if m.visits++; m.modeOf(s) != Normal {
 			n, h := m.crowd(s)
-			m.fill += math.Min(1, math.Max(0, (n-h)/(highPart*h+1-h)))
+			_, block := m.edges(s, h)
+			m.fill += math.Min(1, math.Max(0, (n-h)/(block-h)))
 		}
 	}
 	open := m.open[:0]
@@ -973,6 +1001,8 @@
 		m.recompute()
 	}
 	m.ask()
+	m.scout()
+	m.tell()
 }
 
 func (m *Module) follow(e ListUpdate) {
@@ -1026,6 +1056,14 @@
 		return
 	}
 	m.ring, m.stale = m.ring.change(left, come), true
+	for _, s := range left {
+		if m.tags[s.tag()] == s {
+			delete(m.tags, s.tag())
+		}
+	}
+	for _, s := range come {
+		m.tags[s.tag()] = s
+	}
 	if m.whole {
 		m.near = m.ring // whose array may have changed
 	}
--- /dev/null
+++ b/decide/shared_test.go
@@ -0,0 +1,140 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// fleetSettings are those of one of 80 nodes that may probe and talk.
+func fleetSettings(self int) Settings {
+	return Settings{Nodes: 80, Self: self, Zone: "a", Zones: []string{"a"}, Kinds: []string{"k"}, MaxAttempts: 4, MayOverlap: true,
+		MayCancel: true, MayProbe: true, MayMessage: true, ReportVia: ReportProbe, ReportFields: []string{"inflight", "queue"},
+		HoldOffs: true, MaxHoldOff: 2 * time.Second, ConnectTimeout: 250 * time.Millisecond, MinTick: time.Millisecond,
+		AskWithin: 10 * time.Second, DrainGrace: 500 * time.Millisecond, ColdFrom: 0.3, ColdTime: 8 * time.Second,
+		OverloadFactor: 2.5, OverloadTime: time.Second,
+		Classes: []Class{{Name: "dear", Worth: 12, Aim: 800 * time.Millisecond, Deadline: 1600 * time.Millisecond, Effect: Safe},
+			{Name: "cheap", Worth: 1, Aim: 800 * time.Millisecond, Deadline: 3 * time.Second, Effect: Safe}}}
+}
+
+func fleetNode(t *testing.T, self, servers int) *Module {
+	t.Helper()
+	m := New(fleetSettings(self), int64(self)+1)
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{ID: ServerID(i + 1), Zone: "a", Kind: "k", Cell: i % 4, State: Ready, Size: 1})
+	}
+	m.Handle(time.Second, ListUpdate{Kind: ListCached, Entries: list})
+	if !m.shared() {
+		t.Fatal("80 nodes do not share what they know")
+	}
+	return m
+}
+
+// told gives all datagrams among some actions.
+func toldBy(actions []Action) (data [][]byte) {
+	for _, a := range actions {
+		if s, ok := a.(SendMessage); ok {
+			data = append(data, s.Data)
+		}
+	}
+	return data
+}
+
+// A node that has nothing at a server itself keeps off it once the others have said that it is full, comes back when they
+// say that it is not, and takes the words of one that has died for no longer than countsLife.
+func TestOthersCountsFillServer(t *testing.T) {
+	m := fleetNode(t, 0, 8)
+	now := time.Second
+	tell := func(from, n int) {
+		o := fleetNode(t, from, 8)
+		data := []byte{countWord}
+		for i := range 8 {
+			tag := o.known[ServerID(i+1)].tag()
+			data = append(data, byte(tag>>8), byte(tag), byte(n))
+		}
+		m.Handle(now, MessageReceived{From: from, Data: data})
+	}
+	served := func() bool {
+		now += time.Millisecond
+		for _, a := range m.Handle(now, RequestArrived{ID: RequestID(fmt.Sprint(now)), Class: "dear", Patience: time.Second}) {
+			if _, ok := a.(Send); ok {
+				return true
+			}
+		}
+		return false
+	}
+	m.Handle(now, MessageReceived{From: 7, Data: slotsWord(1, 6)})
+	if !served() {
+		t.Fatal("an idle fleet serves nothing")
+	}
+	tell(1, 15)
+	tell(2, 10)
+	if served() {
+		t.Error("served at servers of 6 slots that have 25 requests each")
+	}
+	tell(2, 0)
+	tell(1, 1)
+	if !served() {
+		t.Error("refused at servers that have one request each")
+	}
+	tell(3, 40)
+	if served() {
+		t.Error("served at servers that have 41 requests each")
+	}
+	now += countsLife + time.Second
+	m.Handle(now, TimerFired{})
+	if !served() {
+		t.Error("refused for what a node said that has been silent since")
+	}
+}
+
+// Datagrams from nowhere, cut short or wrong change nothing and do no harm.
+func TestWrongWords(t *testing.T) {
+	m := fleetNode(t, 0, 8)
+	tag := m.known[1].tag()
+	for _, e := range []MessageReceived{
+		{From: -1, Data: []byte{countWord, byte(tag >> 8), byte(tag), 200}}, {From: 80, Data: []byte{countWord, byte(tag >> 8), byte(tag), 200}},
+		{From: 0, Data: []byte{countWord, byte(tag >> 8), byte(tag), 200}}, {From: 3, Data: []byte{countWord, byte(tag >> 8), byte(tag)}},
+		{From: 3, Data: nil}, {From: 3, Data: []byte{loadWord}}, {From: 3, Data: slotsWord(99, 3)},
+	} {
+		m.Handle(2*time.Second, e)
+		if m.known[1].others != 0 || m.slots != 0 {
+			t.Errorf("%+v changed what is known", e)
+		}
+	}
+}
+
+// A node says what it has in flight, within a second, and says once that it has nothing any more.
+func TestNodeTellsWhatItHas(t *testing.T) {
+	a, b := fleetNode(t, 0, 8), fleetNode(t, 1, 8)
+	now := 2 * time.Second
+	var sent Send
+	for _, x := range a.Handle(now, RequestArrived{ID: "r", Class: "dear", Patience: time.Second}) {
+		if s, ok := x.(Send); ok {
+			sent = s
+		}
+	}
+	pass := func() (words int) {
+		for range 40 {
+			now += 25 * time.Millisecond
+			for _, data := range toldBy(a.Handle(now, TimerFired{})) {
+				words++
+				b.Handle(now, MessageReceived{From: 0, Data: data})
+			}
+		}
+		return words
+	}
+	pass()
+	if got := b.known[sent.Server].others; got != 1 {
+		t.Fatalf("the other node believes in %v requests; want 1", got)
+	}
+	a.Handle(now, AttemptEnded{ID: "r", Server: sent.Server, Over: true, Elapsed: time.Second, Code: OK})
+	pass()
+	if got := b.known[sent.Server].others; got != 0 {
+		t.Errorf("the other node believes in %v requests; want 0", got)
+	}
+	if words := pass(); words > 0 {
+		t.Errorf("%d words of a node that has nothing", words)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -22,6 +22,10 @@
 	mode, told, imposed Mode // by own count; by reports; by a full answer or a report, until it lapses
 	imposedUntil        Time
 	n, report           float64 // own attempts in flight; requests it last reported to hold
+	others              float64 // other nodes' attempts in flight, as they said
+	slots               float64 // requests that it works on at once, smoothed; 0: not known
+	asked               bool    // a probe is out,
+	askedAt             Time    // sent then
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	last                float64 // s, the last answer's latency, as of a mean request
 	brisk               float64 // own answers lately, each fading with briskTau
@@ -136,6 +140,13 @@
 	budget             float64 // further attempts allowed
 	subscribed, asking bool
 	askAt, askedAt     Time
+	probedAt, tellAt   Time               // the last probe; the next word to the other nodes
+	dice               float64            // spreads the next probe
+	toldSome           bool               // the last one said of something
+	others             []told             // by their numbers; nil until one has said anything
+	tags               map[uint16]*server // of the ring, by their short names
+	slots              float64            // of the mean server, as server's
+	shed, shedNow      float64            // drop fraction for where no server is normal: what persists of it; in all
 	askWait            time.Duration
 }
 
@@ -143,7 +154,7 @@
 func New(s Settings, seed int64) *Module {
 	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
 		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		cells: map[int]*pool{}, zones: map[string]*pool{}}
+		tags: map[uint16]*server{}, cells: map[int]*pool{}, zones: map[string]*pool{}}
 	m.salt = mix(m.rng)
 	for i := range m.pools {
 		m.pools[i].by = byMode
