--- a/decide/shared_test.go
+++ b/decide/shared_test.go
@@ -138,3 +138,38 @@
 		t.Errorf("%d words of a node that has nothing", words)
 	}
 }
+
+// The nodes of a large fleet begin to ask for the list over seconds, and those whose call failed ask again over seconds: all
+// of them ask one service, and calls that come at once wait so long behind one another that most fail. Three nodes ask at once.
+func TestAsksAreSpread(t *testing.T) {
+	most := func(nodes int, fail bool) (perSecond int) {
+		asks := map[int]int{}
+		for self := range nodes {
+			s := fleetSettings(self)
+			s.Nodes, s.AskForList = nodes, true
+			m := New(s, int64(self)+1)
+			m.Handle(0, ListUpdate{Kind: ListCached, Entries: []Server{{ID: 1, State: Ready, Size: 1}}})
+			for now := time.Duration(0); now < 12*time.Second; now += 25 * time.Millisecond {
+				for _, a := range m.Handle(now, TimerFired{}) {
+					if _, ok := a.(Subscribe); ok {
+						asks[int(now/time.Second)]++
+						m.Handle(now, ListUpdate{Kind: map[bool]ListKind{true: ListFailed, false: ListChanges}[fail]})
+					}
+				}
+			}
+		}
+		for _, n := range asks {
+			perSecond = max(perSecond, n)
+		}
+		return perSecond
+	}
+	if n := most(80, false); n > 40 {
+		t.Errorf("%d of 80 nodes ask within a second", n)
+	}
+	if n := most(80, true); n > 45 {
+		t.Errorf("%d calls a second of 80 nodes whose calls fail", n)
+	}
+	if n := most(3, false); n != 3 {
+		t.Errorf("%d of 3 nodes ask in the first second", n)
+	}
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -69,7 +69,7 @@
 	}
 	settings := c.Settings
 	settings.TellShort = g != nil
-	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, log),
+	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, settings.Nodes, log),
 		Messenger: messenger, Log: log})
 	if err != nil {
 		tcp.Close()
@@ -176,7 +176,7 @@
 		if next.Discovery != at {
 			at = next.Discovery
 			log.Info("discovery moves", "to", at)
-			loop.Move(registry.New(at, log))
+			loop.Move(registry.New(at, c.Settings.Nodes, log))
 		}
 	}
 }
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -24,7 +24,9 @@
 
 const (
 	listLimit   = 4 << 20          // bytes of a list, at most
-	watchWait   = 3 * time.Second  // for news, in one call of a watch: a path that goes silent is noticed by then
+	watchLeast  = 3 * time.Second  // for news, in one call of a watch: a path that goes silent is noticed by then
+	watchMost   = 20 * time.Second // the same in a large fleet, where
+	watchEach   = time.Second / 4  // each node adds so much: every call costs the one service that all of them ask
 	firstWait   = time.Millisecond // the same in the call that begins one: the module waits for its answer
 	callSlack   = 3 * time.Second  // a call may wait its turn so long beyond that
 	dialWait    = time.Second
@@ -91,12 +93,14 @@
 // discovery asks for the list of backends, at one address. Its calls go out on connections of its own.
 type Registry struct {
 	addr   netip.AddrPort
+	wait   time.Duration // for news, in one call of a watch
 	client *http.Client
 	log    *slog.Logger
 }
 
-func New(addr netip.AddrPort, log *slog.Logger) *Registry {
-	return &Registry{addr: addr, log: log, client: &http.Client{Transport: &http.Transport{
+// New makes the membership of one of so many nodes that all ask the registry at addr.
+func New(addr netip.AddrPort, nodes int, log *slog.Logger) *Registry {
+	return &Registry{addr: addr, log: log, wait: min(max(watchLeast, time.Duration(nodes)*watchEach), watchMost), client: &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialWait}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
 }
 
@@ -161,7 +165,7 @@
 			case <-time.After(agentPause):
 			}
 		}
-		version, wait, slack = l.Version, watchWait, watchSlack
+		version, wait, slack = l.Version, d.wait, watchSlack
 	}
 }
 
--- a/internal/member/registry/registry_test.go
+++ b/internal/member/registry/registry_test.go
@@ -1,9 +1,16 @@
 package registry
 
 import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/core"
 )
 
 // A list is taken only if all of it makes sense.
@@ -24,6 +31,30 @@
 	}
 }
 
+// A watch waits the longer, the more nodes ask the one service: with 3 s each, the calls of 34 nodes took all that it could
+// do, and it turned away those of the other 46 for good.
+func TestWatchWaitsByNodes(t *testing.T) {
+	t.Parallel()
+	for nodes, want := range map[int]string{1: "3000", 3: "3000", 40: "10000", 80: "20000", 5000: "20000"} {
+		waits := make(chan string, 2)
+		service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if waits <- r.URL.Query().Get("timeout_ms"); len(waits) < cap(waits) {
+				w.Write([]byte(`{"version":1,"full":true,"servers":[]}`))
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		d := New(netip.MustParseAddrPort(service.Listener.Addr().String()), nodes, slog.New(slog.DiscardHandler))
+		if err := d.Watch(context.Background(), nil, func(core.List) {}); err == nil || errors.Is(err, context.Canceled) {
+			t.Errorf("%d nodes: %v; want the service's refusal", nodes, err)
+		}
+		service.Close()
+		if first, second := <-waits, <-waits; first != "" || second != want {
+			t.Errorf("%d nodes: waits %q, %q; want none, %s", nodes, first, second, want)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"version":41,"full":true,"servers":[{"id":"s-5be2a07c","addr":"10.1.0.18:8080","state":"ready"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
