--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,8 +54,8 @@
 	retryBudget = 0.1                    // further attempts for each arrival: no storm of our own
 	retryBurst  = 10.0                   // attempts; what the budget may save up
 	holdPart    = 0.15                   // part of the aim a refused client is told to wait, jittered
-	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for, and again; doubles. For each node of
-	askSpread   = 40 * time.Millisecond  // s; a large fleet so long: all ask one service, which takes them in turn
+	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for, and again; doubles
+	askSpread   = 40 * time.Millisecond  // s; so long for each node: all ask one service, in turn
 	subsetTime  = 2.0                    // s; a subset's server is tried so often: news before a trouble is old
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
@@ -105,7 +105,8 @@
 	m.now, m.out = now, m.out[:0]
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)} // the only timer in use
 	if !m.ticking {
-		m.ticking, m.periodAt, m.askWait, m.askAt = true, now, m.firstAsk(), now+m.jitter(askFirst)+time.Duration(m.random()*float64(m.firstAsk()-askFirst))
+		m.ticking, m.periodAt, m.askWait = true, now, m.firstAsk()
+		m.askAt = now + m.jitter(askFirst) + time.Duration(m.random()*float64(m.firstAsk()-askFirst))
 		m.startAt, m.size = now, subsetLeast
 		m.do(timer)
 	}
@@ -1103,8 +1104,8 @@
 	m.forget(s)
 }
 
-// firstAsk is the wait before a list is asked for: as long as the service may take for the lists of all nodes, where they
-// are many. Whoever asks sooner waits in turn behind them, and its call fails.
+// firstAsk is the wait before a list is asked for: as long as the service may take for the lists of all
+// nodes, where they are many. Whoever asks sooner waits in turn behind them, and its call fails.
 func (m *Module) firstAsk() time.Duration {
 	spread := time.Duration(m.set.Nodes) * askSpread
 	return max(askFirst, min(spread, m.set.AskWithin/2))
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -10,11 +10,12 @@
 
 const (
 	sharedNodes = 8.0                     // nodes that meet a server, at least, for their own counts to tell nothing
-	sharedTime  = 0.4                     // s; subsetTime where news of a server comes from other nodes too
+	sharedTime  = 0.25                    // s; subsetTime where news of a server comes from other nodes too
 	probePart   = 0.01                    // probes for each arrival: they tell how many requests a server works on at once
 	probeFirst  = 1.0                     // probes each second while no server has shown that number
 	probeLeast  = 0.1                     // probes each second of a node to which nobody comes
-	countsEvery = 400 * time.Millisecond  // between two words of what a node has at servers: some for each server's answer
+	countsEvery = 100 * time.Millisecond  // between two words of what a node has at servers: far less than an answer takes
+	wholeEvery  = 10                      // words, of which one tells all of it and the others what has changed
 	countsLife  = 2 * time.Second         // a node that has said nothing for so long has nothing there
 	probeWait   = 1500 * time.Millisecond // s; a probe that has not ended by then is no reason not to make another
 	slotGain    = 0.2                     // weight of a new reading of how many requests a server works on at once
--- a/decide/shared_test.go
+++ b/decide/shared_test.go
@@ -139,6 +139,47 @@
 	}
 }
 
+// Nine words in ten tell only what has changed. Whichever of them are lost, the others know within two seconds what a
+// node has.
+func TestLostWordsAreMended(t *testing.T) {
+	for lost := range 8 {
+		a, b := fleetNode(t, 0, 8), fleetNode(t, 1, 8)
+		now := 2 * time.Second
+		words, bytes, open := 0, 0, map[RequestID]Send{}
+		for i := range 200 {
+			now += 25 * time.Millisecond
+			id := RequestID(fmt.Sprint(i))
+			var actions []Action
+			if i < 120 {
+				actions = append(actions, a.Handle(now, RequestArrived{ID: id, Class: "dear", Patience: time.Minute})...)
+			}
+			actions = append(actions, a.Handle(now, TimerFired{})...)
+			for _, x := range actions {
+				if s, ok := x.(Send); ok {
+					open[s.ID] = s
+				}
+			}
+			for _, data := range toldBy(actions) {
+				if words, bytes = words+1, bytes+len(data); words%8 != lost {
+					b.Handle(now, MessageReceived{From: 0, Data: data})
+				}
+			}
+			if old := open[RequestID(fmt.Sprint(i-10))]; old.ID != "" {
+				delete(open, old.ID)
+				a.Handle(now, AttemptEnded{ID: old.ID, Server: old.Server, Over: true, Elapsed: 250 * time.Millisecond, Code: OK})
+			}
+		}
+		for id, s := range b.known {
+			if s.others != a.known[id].n {
+				t.Errorf("every eighth word lost, from the %dth: server %d has %v, the other node believes %v", lost, id, a.known[id].n, s.others)
+			}
+		}
+		if words < 20 || bytes > 30*words {
+			t.Errorf("%d words of %d bytes in 5 s", words, bytes)
+		}
+	}
+}
+
 // The nodes of a large fleet begin to ask for the list over seconds, and those whose call failed ask again over seconds: all
 // of them ask one service, and calls that come at once wait so long behind one another that most fail. Three nodes ask at once.
 func TestAsksAreSpread(t *testing.T) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -22,6 +22,7 @@
 	mode, told, imposed Mode // by own count; by reports; by a full answer or a report, until it lapses
 	imposedUntil        Time
 	n, report           float64 // own attempts in flight; requests it last reported to hold
+	toldN               float64 // of n, what the other nodes were last told
 	others              float64 // other nodes' attempts in flight, as they said
 	slots               float64 // requests that it works on at once, smoothed; 0: not known
 	asked               bool    // a probe is out,
@@ -142,6 +143,7 @@
 	askAt, askedAt     Time
 	probedAt, tellAt   Time               // the last probe; the next word to the other nodes
 	dice               float64            // spreads the next probe
+	words              int                // told so far
 	toldSome           bool               // the last one said of something
 	others             []told             // by their numbers; nil until one has said anything
 	tags               map[uint16]*server // of the ring, by their short names
--- a/decide/words.go
+++ b/decide/words.go
@@ -5,14 +5,16 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 )
 
 const (
-	loadWord  = 'l' // first byte of a datagram with how many requests a server works on at once
-	loadSize  = 7   // its bytes: the server's id, the number in eighths
-	countWord = 'n' // first byte of a datagram with what a node has at servers,
-	countSize = 3   // bytes for each: the server's tag, the number
-	countMost = 84  // servers in one: datagrams hold 256 bytes
+	loadWord   = 'l' // first byte of a datagram with how many requests a server works on at once
+	loadSize   = 7   // its bytes: the server's id, the number in eighths
+	countWord  = 'n' // first byte of a datagram with what a node has at servers,
+	changeWord = 'c' // and of one with those that have changed;
+	countSize  = 3   // bytes for each: the server's tag, the number
+	countMost  = 84  // servers in one: datagrams hold 256 bytes
 )
 
 // told is what another node last said that it has at servers.
@@ -45,25 +47,34 @@
 		if s := m.known[ServerID(binary.BigEndian.Uint32(e.Data[1:]))]; s != nil {
 			m.learnSlots(s, float64(binary.BigEndian.Uint16(e.Data[5:]))/8)
 		}
-	case e.Data[0] == countWord && (len(e.Data)-1)%countSize == 0 && e.From >= 0 && e.From < m.set.Nodes:
-		m.heardCounts(e.From, e.Data[1:])
+	case (len(e.Data)-1)%countSize != 0 || e.From < 0 || e.From >= m.set.Nodes:
+	case e.Data[0] == countWord || e.Data[0] == changeWord:
+		m.heardCounts(e.From, e.Data[1:], e.Data[0] == countWord)
 	}
 }
 
-// heardCounts takes what another node has at servers, in place of what it said before.
-func (m *Module) heardCounts(from int, data []byte) {
+// heardCounts takes what another node has at servers, in place of what it said before: of all servers, or of those that
+// it names.
+func (m *Module) heardCounts(from int, data []byte, all bool) {
 	if m.others == nil {
 		m.others = make([]told, m.set.Nodes)
 	}
 	o := &m.others[from]
-	m.drop(o)
+	if all {
+		m.drop(o)
+	}
 	for o.at = m.now; len(data) > 0; data = data[countSize:] {
-		if s := m.tags[binary.BigEndian.Uint16(data)]; s != nil {
-			n := float64(data[2])
-			s.others += n
-			o.counts = append(o.counts, count{s, n})
-			m.place(s)
+		s, n := m.tags[binary.BigEndian.Uint16(data)], float64(data[2])
+		if s == nil {
+			continue
+		}
+		i := slices.IndexFunc(o.counts, func(c count) bool { return c.server == s })
+		if i < 0 {
+			i, o.counts = len(o.counts), append(o.counts, count{server: s})
 		}
+		s.others += n - o.counts[i].n
+		o.counts[i].n = n
+		m.place(s)
 	}
 }
 
@@ -77,22 +88,25 @@
 	o.counts = o.counts[:0]
 }
 
-// tell says what this node has at servers, and forgets what nodes that have fallen silent said.
+// tell says what has changed of what this node has at servers, and now and then all of it, as words are lost. It forgets
+// what nodes that have fallen silent said.
 func (m *Module) tell() {
 	if !m.shared() || m.now < m.tellAt {
 		return
 	}
 	m.tellAt = m.now + m.jitter(countsEvery)
-	data := append(make([]byte, 0, 1+countSize*8), countWord)
+	all := m.words%wholeEvery == 0
+	data := append(make([]byte, 0, 1+countSize*8), map[bool]byte{true: countWord, false: changeWord}[all])
 	for _, s := range m.ring {
-		if s.n > 0 && len(data) <= countSize*countMost {
-			data = append(binary.BigEndian.AppendUint16(data, s.tag()), uint8(math.Min(math.MaxUint8, s.n)))
+		if len(data) <= countSize*countMost && (all && s.n > 0 || s.n != s.toldN) {
+			data, s.toldN = append(binary.BigEndian.AppendUint16(data, s.tag()), uint8(math.Min(math.MaxUint8, s.n))), s.n
 		}
 	}
-	if len(data) > 1 || m.toldSome {
+	some := len(data) > 1
+	if some || all && m.toldSome {
 		m.do(SendMessage{ToAll: true, Data: data})
 	}
-	m.toldSome = len(data) > 1
+	m.words, m.toldSome = m.words+1, some || m.toldSome && !all
 	for i := range m.others {
 		if o := &m.others[i]; len(o.counts) > 0 && m.now-o.at > countsLife {
 			m.drop(o)
