--- a/decide/shared.go
+++ b/decide/shared.go
@@ -10,7 +10,7 @@
 
 const (
 	sharedNodes = 8.0                     // nodes that meet a server, at least, for their own counts to tell nothing
-	sharedTime  = 0.25                    // s; subsetTime where news of a server comes from other nodes too
+	sharedTime  = 0.15                    // s; subsetTime where news of a server comes from other nodes too
 	probePart   = 0.01                    // probes for each arrival: they tell how many requests a server works on at once
 	probeFirst  = 1.0                     // probes each second while no server has shown that number
 	probeLeast  = 0.1                     // probes each second of a node to which nobody comes
@@ -19,9 +19,9 @@
 	countsLife  = 2 * time.Second         // a node that has said nothing for so long has nothing there
 	probeWait   = 1500 * time.Millisecond // s; a probe that has not ended by then is no reason not to make another
 	slotGain    = 0.2                     // weight of a new reading of how many requests a server works on at once
-	calmQueue   = 0.3                     // requests that wait for each slot: up to so many all are welcome,
-	fullQueue   = 1.2                     // beyond so many only those that are worth most,
-	blockQueue  = 2.2                     // and beyond so many none
+	calmQueue   = 0.1                     // requests that wait for each slot: up to so many all are welcome,
+	fullQueue   = 0.8                     // beyond so many only those that are worth most,
+	blockQueue  = 1.6                     // and beyond so many none
 	shedGain    = 0.3                     // drop fraction for each request that waits for a slot beyond the aim,
 	shedReset   = 0.1                     // and for each second of it
 )
