--- a/decide/shared.go
+++ b/decide/shared.go
@@ -14,14 +14,14 @@
 	probePart   = 0.01                    // probes for each arrival: they tell how many requests a server works on at once
 	probeFirst  = 1.0                     // probes each second while no server has shown that number
 	probeLeast  = 0.1                     // probes each second of a node to which nobody comes
-	countsEvery = 100 * time.Millisecond  // between two words of what a node has at servers: far less than an answer takes
-	wholeEvery  = 10                      // words, of which one tells all of it and the others what has changed
+	countsEvery = 150 * time.Millisecond  // between two words of what a node has at servers: far less than an answer takes
+	wholeEvery  = 8                      // words, of which one tells all of it and the others what has changed
 	countsLife  = 2 * time.Second         // a node that has said nothing for so long has nothing there
 	probeWait   = 1500 * time.Millisecond // s; a probe that has not ended by then is no reason not to make another
-	slotGain    = 0.2                     // weight of a new reading of how many requests a server works on at once
-	calmQueue   = 0.1                     // requests that wait for each slot: up to so many all are welcome,
-	fullQueue   = 0.8                     // beyond so many only those that are worth most,
-	blockQueue  = 1.6                     // and beyond so many none
+	slotGain    = 0.05                    // weight of a new reading of how many requests a server works on at once
+	calmQueue   = -0.2                     // requests that wait for each slot: up to so many all are welcome,
+	fullQueue   = 0.2                     // beyond so many only those that are worth most,
+	blockQueue  = 1.2                     // and beyond so many none
 	shedGain    = 0.3                     // drop fraction for each request that waits for a slot beyond the aim,
 	shedReset   = 0.1                     // and for each second of it
 )
@@ -79,14 +79,13 @@
 
 func (m *Module) learnSlots(s *server, slots float64) {
 	slots = math.Max(1, slots)
-	if s.slots == 0 {
-		s.slots = slots
-	}
-	s.slots += slotGain * (slots - s.slots)
 	if m.slots == 0 {
 		m.slots = slots
 	}
-	m.slots += classGain * (slots - m.slots)
+	if m.slots += classGain * (slots - m.slots); s.slots == 0 {
+		s.slots = m.slots
+	}
+	s.slots += slotGain * (slots - s.slots)
 }
 
 // slotsOf is how many requests a server works on at once; 0 until any server has shown it.
