--- a/decide/shared.go
+++ b/decide/shared.go
@@ -15,11 +15,11 @@
 	probeFirst  = 1.0                     // probes each second while no server has shown that number
 	probeLeast  = 0.1                     // probes each second of a node to which nobody comes
 	countsEvery = 150 * time.Millisecond  // between two words of what a node has at servers: far less than an answer takes
-	wholeEvery  = 8                      // words, of which one tells all of it and the others what has changed
+	wholeEvery  = 8                       // words, of which one tells all of it and the others what has changed
 	countsLife  = 2 * time.Second         // a node that has said nothing for so long has nothing there
 	probeWait   = 1500 * time.Millisecond // s; a probe that has not ended by then is no reason not to make another
 	slotGain    = 0.05                    // weight of a new reading of how many requests a server works on at once
-	calmQueue   = -0.2                     // requests that wait for each slot: up to so many all are welcome,
+	calmQueue   = -0.2                    // requests that wait for each slot: up to so many all are welcome,
 	fullQueue   = 0.2                     // beyond so many only those that are worth most,
 	blockQueue  = 1.2                     // and beyond so many none
 	shedGain    = 0.3                     // drop fraction for each request that waits for a slot beyond the aim,
