--- a/decide/decide.go
+++ b/decide/decide.go
@@ -106,7 +106,10 @@
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)} // the only timer in use
 	if !m.ticking {
 		m.ticking, m.periodAt, m.askWait = true, now, m.firstAsk()
-		m.askAt = now + m.jitter(askFirst) + time.Duration(m.random()*float64(m.firstAsk()-askFirst))
+		m.askAt = now + m.jitter(askFirst)
+		if spread := m.firstAsk() - askFirst; spread > 0 {
+			m.askAt += time.Duration(m.random() * float64(spread))
+		}
 		m.startAt, m.size = now, subsetLeast
 		m.do(timer)
 	}
