--- a/decide/shared.go
+++ b/decide/shared.go
@@ -19,9 +19,9 @@
 	countsLife  = 2 * time.Second         // a node that has said nothing for so long has nothing there
 	probeWait   = 1500 * time.Millisecond // s; a probe that has not ended by then is no reason not to make another
 	slotGain    = 0.05                    // weight of a new reading of how many requests a server works on at once
-	calmQueue   = -0.2                    // requests that wait for each slot: up to so many all are welcome,
-	fullQueue   = 0.2                     // beyond so many only those that are worth most,
-	blockQueue  = 1.2                     // and beyond so many none
+	calmQueue   = -0.4                    // requests that wait for each slot: up to so many all are welcome,
+	fullQueue   = 0.1                     // beyond so many only those that are worth most,
+	blockQueue  = 0.9                     // and beyond so many none
 	shedGain    = 0.3                     // drop fraction for each request that waits for a slot beyond the aim,
 	shedReset   = 0.1                     // and for each second of it
 )
