--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// total is the number of sends to all servers.
+func (r *rig) total() (sent int) {
+	for _, n := range r.sent {
+		sent += n
+	}
+	return sent
+}
+
 func (r *rig) reset() { r.sent, r.refused, r.failed = map[decide.ServerID]int{}, 0, 0 }
 
 // A silent server is left out and its requests are answered elsewhere, also while the list is down; it then comes
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -239,7 +239,7 @@
 		}
 		return n, math.Floor(m.high(s) + m.dither(s))
 	}
-	if m.shared() && m.fresh(s) {
+	if m.counted(s) {
 		return m.waiting(s), 1 + calmQueue + (fullQueue-calmQueue)*m.dither(s)
 	}
 	if m.least == 0 || m.aimed == 0 {
@@ -263,7 +263,7 @@
 
 // edges gives L and R for a server's H.
 func (m *Module) edges(s *server, h float64) (low, block float64) {
-	if m.shared() && m.fresh(s) {
+	if m.counted(s) {
 		return h - 1, 1 + blockQueue
 	}
 	return lowPart * h, highPart*h + 1
@@ -808,7 +808,7 @@
 
 // sooner is the one with the lower expected delay.
 func (m *Module) sooner(a, b *server) *server {
-	if m.shared() && m.fresh(a) && m.fresh(b) {
+	if m.counted(a) && m.counted(b) {
 		if m.speedOf(b)*(a.n+a.others+1) > m.speedOf(a)*(b.n+b.others+1) {
 			return b
 		}
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -96,8 +96,8 @@
 	return m.slots
 }
 
-// fresh tells whether a server's load is known.
-func (m *Module) fresh(s *server) bool { return m.slotsOf(s) > 0 }
+// counted tells whether a server is judged by all nodes' counts.
+func (m *Module) counted(s *server) bool { return m.shared() && m.slotsOf(s) > 0 }
 
 // waiting is the number of requests that wait for each slot of a server by all nodes' counts, below 0 where slots are free.
 func (m *Module) waiting(s *server) float64 { return (s.n+s.others)/m.slotsOf(s) - 1 }
@@ -107,7 +107,7 @@
 func (m *Module) balance() {
 	sum, count := 0.0, 0.0
 	for _, s := range m.near {
-		if !s.suspect && m.fresh(s) {
+		if !s.suspect && m.counted(s) {
 			sum, count = sum+math.Max(0, math.Min(2*blockQueue, m.waiting(s))), count+1
 		}
 	}
--- a/decide/shared_test.go
+++ b/decide/shared_test.go
@@ -48,7 +48,7 @@
 	now := time.Second
 	tell := func(from, n int) {
 		o := fleetNode(t, from, 8)
-		data := []byte{countWord}
+		data := []byte{countMark}
 		for i := range 8 {
 			tag := o.known[ServerID(i+1)].tag()
 			data = append(data, byte(tag>>8), byte(tag), byte(n))
@@ -94,9 +94,9 @@
 	m := fleetNode(t, 0, 8)
 	tag := m.known[1].tag()
 	for _, e := range []MessageReceived{
-		{From: -1, Data: []byte{countWord, byte(tag >> 8), byte(tag), 200}}, {From: 80, Data: []byte{countWord, byte(tag >> 8), byte(tag), 200}},
-		{From: 0, Data: []byte{countWord, byte(tag >> 8), byte(tag), 200}}, {From: 3, Data: []byte{countWord, byte(tag >> 8), byte(tag)}},
-		{From: 3, Data: nil}, {From: 3, Data: []byte{loadWord}}, {From: 3, Data: slotsWord(99, 3)},
+		{From: -1, Data: []byte{countMark, byte(tag >> 8), byte(tag), 200}}, {From: 80, Data: []byte{countMark, byte(tag >> 8), byte(tag), 200}},
+		{From: 0, Data: []byte{countMark, byte(tag >> 8), byte(tag), 200}}, {From: 3, Data: []byte{countMark, byte(tag >> 8), byte(tag)}},
+		{From: 3, Data: nil}, {From: 3, Data: []byte{slotsMark}}, {From: 3, Data: slotsWord(99, 3)},
 	} {
 		m.Handle(2*time.Second, e)
 		if m.known[1].others != 0 || m.slots != 0 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -144,7 +144,7 @@
 	probedAt, tellAt   Time               // the last probe; the next word to the other nodes
 	dice               float64            // spreads the next probe
 	words              int                // told so far
-	toldSome           bool               // the last one said of something
+	toldSome           bool               // one since the last whole one, or that one, said of something
 	others             []told             // by their numbers; nil until one has said anything
 	tags               map[uint16]*server // of the ring, by their short names
 	slots              float64            // of the mean server, as server's
--- a/decide/suspects_test.go
+++ b/decide/suspects_test.go
@@ -100,11 +100,7 @@
 	r.run(2*time.Second, 200, "booking")
 	r.reset()
 	r.run(4*time.Second, 200, "booking")
-	sent := 0
-	for _, n := range r.sent {
-		sent += n
-	}
-	if sent < 200 || sent > 700 {
+	if sent := r.total(); sent < 200 || sent > 700 {
 		t.Errorf("%d of 800 requests were sent to servers that can do 0.6 to 0.8 of what they did", sent)
 	}
 }
@@ -121,11 +117,7 @@
 	r.delay = answerAfter(time.Hour)
 	r.reset()
 	r.run(150*time.Millisecond, 3000, "booking") // before anything can tell that no answer comes
-	sent := 0
-	for _, n := range r.sent {
-		sent += n
-	}
-	if sent < 10 || sent > 100 {
+	if sent := r.total(); sent < 10 || sent > 100 {
 		t.Errorf("%d requests went to 50 servers that hold 11 for this node when uncrowded", sent)
 	}
 }
--- a/decide/words.go
+++ b/decide/words.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	loadWord   = 'l' // first byte of a datagram with how many requests a server works on at once
-	loadSize   = 7   // its bytes: the server's id, the number in eighths
-	countWord  = 'n' // first byte of a datagram with what a node has at servers,
-	changeWord = 'c' // and of one with those that have changed;
+	slotsMark  = 'l' // first byte of a datagram with how many requests a server works on at once
+	slotsSize  = 7   // its bytes: the server's id, the number in eighths
+	countMark  = 'n' // first byte of a datagram with what a node has at servers,
+	changeMark = 'c' // and of one with those that have changed;
 	countSize  = 3   // bytes for each: the server's tag, the number
 	countMost  = 84  // servers in one: datagrams hold 256 bytes
 )
@@ -30,7 +30,7 @@
 
 // slotsWord says how many requests a server works on at once.
 func slotsWord(id ServerID, slots float64) []byte {
-	data := append(make([]byte, 0, loadSize), loadWord)
+	data := append(make([]byte, 0, slotsSize), slotsMark)
 	data = binary.BigEndian.AppendUint32(data, uint32(id))
 	return binary.BigEndian.AppendUint16(data, uint16(math.Min(math.MaxUint16, 8*slots)))
 }
@@ -43,13 +43,13 @@
 	case string(e.Data) == shortWord:
 		m.heardShortAt = m.now
 	case !m.shared():
-	case len(e.Data) == loadSize && e.Data[0] == loadWord:
+	case len(e.Data) == slotsSize && e.Data[0] == slotsMark:
 		if s := m.known[ServerID(binary.BigEndian.Uint32(e.Data[1:]))]; s != nil {
 			m.learnSlots(s, float64(binary.BigEndian.Uint16(e.Data[5:]))/8)
 		}
 	case (len(e.Data)-1)%countSize != 0 || e.From < 0 || e.From >= m.set.Nodes:
-	case e.Data[0] == countWord || e.Data[0] == changeWord:
-		m.heardCounts(e.From, e.Data[1:], e.Data[0] == countWord)
+	case e.Data[0] == countMark || e.Data[0] == changeMark:
+		m.heardCounts(e.From, e.Data[1:], e.Data[0] == countMark)
 	}
 }
 
@@ -96,7 +96,10 @@
 	}
 	m.tellAt = m.now + m.jitter(countsEvery)
 	all := m.words%wholeEvery == 0
-	data := append(make([]byte, 0, 1+countSize*8), map[bool]byte{true: countWord, false: changeWord}[all])
+	data := append(make([]byte, 0, 1+countSize*8), changeMark)
+	if all {
+		data[0] = countMark
+	}
 	for _, s := range m.ring {
 		if len(data) <= countSize*countMost && (all && s.n > 0 || s.n != s.toldN) {
 			data, s.toldN = append(binary.BigEndian.AppendUint16(data, s.tag()), uint8(math.Min(math.MaxUint8, s.n))), s.n
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -43,6 +43,17 @@
 	serverDone chan error
 }
 
+// stall has the far side begin one request, and end it once let is closed.
+func (s *sites) stall() (began, let chan struct{}) {
+	began, let = make(chan struct{}), make(chan struct{})
+	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
+		close(began)
+		<-let
+		return ledger.Done, okText
+	})
+	return began, let
+}
+
 func newSites(t testing.TB) *sites {
 	t.Helper()
 	s := &sites{t: t}
@@ -164,12 +175,7 @@
 func TestAnswerAfterSilence(t *testing.T) {
 	t.Parallel()
 	s := newSites(t)
-	began, let := make(chan struct{}), make(chan struct{})
-	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
-		close(began)
-		<-let
-		return ledger.Done, okText
-	})
+	began, let := s.stall()
 	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
 	go func() {
 		<-began
@@ -380,12 +386,7 @@
 func TestStalledBlocksNone(t *testing.T) {
 	t.Parallel()
 	s := newSites(t)
-	began, let := make(chan struct{}), make(chan struct{})
-	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
-		close(began)
-		<-let
-		return ledger.Done, okText
-	})
+	began, let := s.stall()
 	first := s.offer(request("order", testkit.Patient), decide.Unsafe)
 	ended := make(chan core.Crossed, 1)
 	go func() { _, how := first.Cross(t.Context()); ended <- how }()
@@ -409,12 +410,7 @@
 func TestRemovedWithOneOut(t *testing.T) {
 	t.Parallel()
 	s := newSites(t)
-	began, let := make(chan struct{}), make(chan struct{})
-	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
-		close(began)
-		<-let
-		return ledger.Done, okText
-	})
+	began, let := s.stall()
 	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
 	go func() {
 		<-began
@@ -482,12 +478,7 @@
 func TestReplacedIdentity(t *testing.T) {
 	t.Parallel()
 	s := newSites(t)
-	began, let := make(chan struct{}), make(chan struct{})
-	s.answer(func(context.Context, string, []byte, time.Duration) (ledger.State, []byte) {
-		close(began)
-		<-let
-		return ledger.Done, okText
-	})
+	began, let := s.stall()
 	c := s.offer(request("order", testkit.Patient), decide.Unsafe)
 	old := *s.near.Get()
 	go func() {
