--- a/decide/state.go
+++ b/decide/state.go
@@ -279,6 +279,9 @@
 	return time.Duration(float64(d) * (0.5 + m.random()))
 }
 
+// Avoided is how many ready servers get nothing now but trials: suspects, and those that block. It changes nothing.
+func (m *Module) Avoided() int { return len(m.trials.list) + len(m.pools[Blocking].list) }
+
 // Census is how many servers of the subset are in each mode, as each was last looked at; Apart are suspects, and cold ones
 // whose budget is spent.
 type Census struct{ Normal, Overloaded, Blocking, Apart int }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -10,12 +10,15 @@
 	"sync"
 	"time"
 
+	"starlingvalve/decide"
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/front/http1"
 	"starlingvalve/internal/member/registry"
+	"starlingvalve/internal/ops"
 	"starlingvalve/internal/peer"
 	"starlingvalve/internal/recorder"
+	"starlingvalve/internal/stats"
 	"starlingvalve/internal/trace"
 	upstream "starlingvalve/internal/upstream/http1"
 )
@@ -43,9 +46,21 @@
 }
 
 func serve(ctx context.Context, c *Config, tcp *net.TCPListener, reload <-chan os.Signal, log *slog.Logger) error {
+	var second *net.TCPListener
+	if c.Ops.IsValid() {
+		var err error
+		if second, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Ops)); err != nil {
+			tcp.Close()
+			return fmt.Errorf("ops: %w", err)
+		}
+		defer second.Close()
+	}
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	room := c.Limits.Sockets - ownSockets
+	if second != nil {
+		room -= ops.Connections + 1
+	}
 	clients := int(float64(room) * clientPart)
 	var p *peer.Peers
 	var messenger core.Messenger
@@ -69,13 +84,15 @@
 	}
 	settings := c.Settings
 	settings.TellShort = g != nil
+	figures := stats.New(classNames(settings))
 	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, settings.Nodes, log),
-		Messenger: messenger, Log: log})
+		Messenger: messenger, Figures: figures, Log: log})
 	if err != nil {
 		tcp.Close()
 		return err
 	}
 	handler := front.NewHandler(loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
+	handler.Figures = figures
 	if c.Record != nil {
 		keeper := recorder.New(c.Record, log)
 		handler.Seen = func(s *front.Seen) { keeper.Take(tryOf(s)) }
@@ -94,12 +111,24 @@
 		running.Go(func() { p.Write(inner) })
 		running.Go(func() { p.Read(loop.Heard) })
 	}
+	var watched *ops.Server
+	if second != nil {
+		watched = ops.New(second, handler.Ready, figures, log)
+		running.Go(func() {
+			if err := watched.Serve(); err != nil {
+				log.Error("second address", "err", err)
+			}
+		})
+	}
 	served := make(chan error, 1)
 	running.Go(func() { served <- clientFront.Serve() })
 	if g != nil {
 		if err := g.take(c, loop); err != nil {
 			stop()
 			tcp.Close()
+			if watched != nil {
+				watched.Close()
+			}
 			running.Wait()
 			return err
 		}
@@ -124,6 +153,9 @@
 	}
 	stop()
 	clientFront.Close()
+	if watched != nil {
+		watched.Close()
+	}
 	if g != nil {
 		g.server.Close()
 	}
@@ -131,6 +163,13 @@
 	return err
 }
 
+func classNames(s decide.Settings) (names []string) {
+	for _, c := range s.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
 // tryOf is a request as the recorder takes it.
 func tryOf(s *front.Seen) *recorder.Try {
 	e := &s.Request.Arrived
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -32,6 +32,7 @@
 	Discovery netip.AddrPort
 	Seed      int64
 	Limits    Limits
+	Ops       netip.AddrPort // the second address; invalid: there is none
 	PeerListen,
 	PeersAll netip.AddrPort // invalid where nodes don't talk
 	Peers    []netip.AddrPort
@@ -91,6 +92,7 @@
 		Discovery  string          `json:"discovery"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
+		Ops        string          `json:"ops"`
 		PeerListen string          `json:"peer_listen"`
 		Peers      []string        `json:"peers"`
 		PeersAll   string          `json:"peers_all"`
@@ -100,7 +102,7 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for variable, field := range map[string]*string{"GW_NAME": &in.Name, "GW_LISTEN": &in.Listen, "GW_DISCOVERY": &in.Discovery} {
+	for variable, field := range map[string]*string{"GW_NAME": &in.Name, "GW_LISTEN": &in.Listen, "GW_DISCOVERY": &in.Discovery, "GW_OPS": &in.Ops} {
 		if v := getenv(variable); v != "" {
 			*field = v
 		}
@@ -115,7 +117,7 @@
 		into       *netip.AddrPort
 		wanted     bool
 	}{{"listen", in.Listen, &c.Listen, true}, {"discovery", in.Discovery, &c.Discovery, true},
-		{"peer_listen", in.PeerListen, &c.PeerListen, peers}, {"peers_all", in.PeersAll, &c.PeersAll, in.PeersAll != ""}} {
+		{"ops", in.Ops, &c.Ops, in.Ops != ""}, {"peer_listen", in.PeerListen, &c.PeerListen, peers}, {"peers_all", in.PeersAll, &c.PeersAll, in.PeersAll != ""}} {
 		if !a.wanted {
 			continue
 		}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/stats"
 )
 
 const (
@@ -40,6 +41,7 @@
 	members   Membership
 	messenger Messenger
 	remote    Remote // nil: nothing crosses
+	figures   *stats.Figures
 	log       *slog.Logger
 	lag       *lagMeter // nil: not measured
 
@@ -57,8 +59,9 @@
 	timers    timerHeap
 	queue     []decide.Event
 	handling  bool
-	ready     map[decide.ServerID]bool
-	version   *uint64 // of the list; nil if discovery has moved and not told it yet
+	listed    map[decide.ServerID]decide.ServerState // but for those that are gone
+	ready     int                                    // of them
+	version   *uint64                                // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
 }
@@ -70,7 +73,8 @@
 	Transport Transport
 	Members   Membership
 	Messenger Messenger
-	Remote    Remote // nil: what this hall refuses is refused
+	Remote    Remote         // nil: what this hall refuses is refused
+	Figures   *stats.Figures // nil: nothing is counted
 	Log       *slog.Logger
 }
 
@@ -90,7 +94,8 @@
 	}
 	return &Loop{classes: classes, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
 		messenger: o.Messenger, remote: o.Remote, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
-		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{}, ready: map[decide.ServerID]bool{}}, nil
+		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{},
+		figures: o.Figures, listed: map[decide.ServerID]decide.ServerState{}}, nil
 }
 
 // Headroom is the number of requests more that the servers would take while all stay calm: see decide.Module.Headroom.
@@ -159,6 +164,12 @@
 		l.handle(decide.TimerFired{Token: heap.Pop(&l.timers).(runningTimer).token})
 	}
 	l.setAlarm()
+	l.publish()
+}
+
+// publish sets the figures of the servers: those that drain are avoided, and those that the module avoids.
+func (l *Loop) publish() {
+	l.figures.Cluster(len(l.listed), len(l.listed)-l.ready+l.module.Avoided())
 }
 
 func (l *Loop) setAlarm() {
@@ -329,7 +340,7 @@
 		l.over(a, n, Result{Code: decide.Moot})
 		return
 	}
-	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline}
+	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline, Written: l.figures.Sent}
 	if a.Timeout != 0 && now.Add(a.Timeout).Before(r.Deadline) {
 		x.Deadline = now.Add(a.Timeout)
 	}
@@ -499,18 +510,26 @@
 	l.version = &n.Version
 	l.transport.Update(n)
 	if n.Full {
-		clear(l.ready)
+		clear(l.listed)
+		l.ready = 0
 	}
 	e := decide.ListUpdate{Kind: kind, Version: n.Version}
 	for _, s := range n.Entries {
-		delete(l.ready, s.ID)
+		if was, ok := l.listed[s.ID]; ok && was == decide.Ready {
+			l.ready--
+		}
+		delete(l.listed, s.ID)
+		if s.State != decide.Gone {
+			l.listed[s.ID] = s.State
+		}
 		if s.State == decide.Ready {
-			l.ready[s.ID] = true
+			l.ready++
 		}
 		e.Entries = append(e.Entries, s.Server)
 	}
-	l.able.Store(len(l.ready) > 0)
+	l.able.Store(l.ready > 0)
 	l.handle(e)
+	l.publish()
 }
 
 // runningTimer is a SetTimer that is running.
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -112,6 +112,7 @@
 	Body     []byte
 	Deadline time.Time // the node waits no longer
 	WriteBy  time.Time // if set, nothing is written from then on
+	Written  func()    // if set, told once the last byte has been written
 }
 
 // Result is how an exchange ended.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -17,6 +17,7 @@
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
+	"starlingvalve/internal/stats"
 )
 
 const (
@@ -40,6 +41,8 @@
 	// Seen, if set, is told of each request that was handed to the loop, once its client has been answered or has gone. It must not
 	// block.
 	Seen func(*Seen)
+	// Figures, if set, count the requests of each class by their ends.
+	Figures *stats.Figures
 
 	loop      *core.Loop
 	log       *slog.Logger
@@ -84,13 +87,13 @@
 // LastCall has no more requests taken.
 func (f *Handler) LastCall() { f.closing.Store(true) }
 
-// ready tells whether the node can serve.
-func (f *Handler) ready() bool { return f.drainEnd.Load() == nil && f.loop.Able() }
+// Ready tells whether the node can serve.
+func (f *Handler) Ready() bool { return f.drainEnd.Load() == nil && f.loop.Able() }
 
 func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	class, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if class == "health" && (rest == "ready" || rest == "live") && r.ContentLength == 0 {
-		if rest == "ready" && !f.ready() {
+		if rest == "ready" && !f.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 		return
@@ -100,33 +103,43 @@
 		f.turnAway(w, http.StatusNotFound, "no such path")
 		return
 	}
+	turnAway := func(status int, fault string) {
+		f.turnAway(w, status, fault)
+		f.Figures.End(class, status)
+	}
+	answer := func(a core.Answer) {
+		f.write(w, a)
+		f.Figures.End(class, a.Status)
+	}
 	if f.Foreign && settings.Effect == decide.Keyed {
-		f.turnAway(w, http.StatusForbidden, "keyed requests do not cross")
+		turnAway(http.StatusForbidden, "keyed requests do not cross")
 		return
 	}
 	patience, status, fault := check(r, settings)
 	if fault != "" {
-		f.turnAway(w, status, fault)
+		turnAway(status, fault)
 		return
 	}
 	defer f.bodies.Add(-r.ContentLength)
 	if f.bodies.Add(r.ContentLength) > f.maxBodies {
 		w.Header().Set("Connection", "close") // its body is not read
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerWait))
-		f.write(w, core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
+		answer(core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
 		return
 	}
 	body, status, fault := readBody(w, r)
 	if fault != "" {
-		f.turnAway(w, status, fault)
+		turnAway(status, fault)
 		return
 	}
+	f.Figures.Taken(1)
+	defer f.Figures.Taken(-1)
 	if f.Lost != nil && f.Lost(r) {
 		panic(http.ErrAbortHandler)
 	}
 	defer f.open.Add(-1)
 	if f.open.Add(1) > f.maxOpen || f.closing.Load() {
-		f.write(w, core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
+		answer(core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
 		return
 	}
 	req := newRequest(r, class, patience, body)
@@ -145,7 +158,7 @@
 		reject(w, http.StatusBadRequest, "the client has closed")
 		return
 	}
-	f.write(w, a)
+	answer(a)
 }
 
 // turnAway answers what has not been taken. One from another site, whose own checks it has passed, does not fit this
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,101 @@
+// Package stats holds the figures that a node reports: what it has served, refused and failed, what it has sent, and what it
+// has now. Each is an atomic that is counted where the thing happens: whoever reads them waits for nobody.
+package stats
+
+import (
+	"io"
+	"strconv"
+	"sync/atomic"
+)
+
+// Ends are the requests of one class that are over, by their end. They never go down.
+type Ends struct {
+	Answered atomic.Int64 // served: 200
+	Deferred atomic.Int64 // refused: 429 or 503, a new try does no harm
+	Errored  atomic.Int64 // any other end
+}
+
+// Figures of one process, from 0 at its start. A nil *Figures counts nothing.
+type Figures struct {
+	names   []string
+	classes map[string]*Ends
+
+	sends     atomic.Int64 // attempts whose last byte has been written to a server; each copy counts, probes don't
+	current   atomic.Int64 // requests taken and not ended
+	size      atomic.Int64 // listed servers
+	unhealthy atomic.Int64 // listed servers that the node avoids
+}
+
+// New makes the figures of a node with these classes. Others are not counted: clients may invent any.
+func New(classes []string) *Figures {
+	f := &Figures{names: classes, classes: map[string]*Ends{}}
+	for _, name := range classes {
+		f.classes[name] = new(Ends)
+	}
+	return f
+}
+
+// Class gives the ends of a class, or nil.
+func (f *Figures) Class(name string) *Ends {
+	if f == nil {
+		return nil
+	}
+	return f.classes[name]
+}
+
+// End counts a request of a class by the status of its final answer.
+func (f *Figures) End(class string, status int) {
+	e := f.Class(class)
+	switch {
+	case e == nil:
+	case status == 200:
+		e.Answered.Add(1)
+	case status == 429 || status == 503:
+		e.Deferred.Add(1)
+	default:
+		e.Errored.Add(1)
+	}
+}
+
+// Sent counts an attempt that has been written whole to a server.
+func (f *Figures) Sent() {
+	if f != nil {
+		f.sends.Add(1)
+	}
+}
+
+// Taken counts a request that has come whole, or with n = -1 its end, whichever way.
+func (f *Figures) Taken(n int64) {
+	if f != nil {
+		f.current.Add(n)
+	}
+}
+
+// Cluster sets how many servers are listed, and how many of those the node avoids.
+func (f *Figures) Cluster(size, unhealthy int) {
+	if f != nil {
+		f.size.Store(int64(size))
+		f.unhealthy.Store(int64(unhealthy))
+	}
+}
+
+// WriteTo writes the figures, one a line: counts as NAME:N|c, what is now as NAME:N|g.
+func (f *Figures) WriteTo(w io.Writer) (int64, error) {
+	text := make([]byte, 0, 256+128*len(f.names))
+	line := func(name string, v int64, kind string) {
+		text = append(append(text, "gw."...), name...)
+		text = append(strconv.AppendInt(append(text, ':'), v, 10), kind...)
+	}
+	for _, name := range f.names {
+		e := f.classes[name]
+		line("transactions."+name+".answered", e.Answered.Load(), "|c\n")
+		line("transactions."+name+".deferred", e.Deferred.Load(), "|c\n")
+		line("transactions."+name+".errored", e.Errored.Load(), "|c\n")
+	}
+	line("sends", f.sends.Load(), "|c\n")
+	line("current", max(0, f.current.Load()), "|g\n")
+	line("cluster_size", f.size.Load(), "|g\n")
+	line("cluster_unhealthy", f.unhealthy.Load(), "|g\n")
+	n, err := w.Write(text)
+	return int64(n), err
+}
--- a/internal/upstream/http1/backend.go
+++ b/internal/upstream/http1/backend.go
@@ -438,6 +438,9 @@
 	if _, err := c.Write(text.Bytes()); err != nil {
 		return core.Result{Code: decide.ConnectFailed, Err: err}, false // its last byte was not written
 	}
+	if x.Written != nil {
+		x.Written()
+	}
 	c.left = headLimit                     // http.ReadResponse itself takes a header of any size
 	req := &http.Request{Method: x.Method} // of it ReadResponse looks at the method only
 	resp, err := http.ReadResponse(c.r, req)
