A process is replaced under load: listeners and list passed over a Unix socket

Seen: the second process ended with 'bind: address already in use' (app.Run listened alone), a crash in every upgrade; the old one then met SIGTERM with nobody to follow it. Ruled out: the start's time (ready after 0.0 s) and the drain itself (0 lost without upgrades).

--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -25,10 +25,7 @@
 	"starlingvalve/internal/recorder"
 )
 
-const (
-	memoryPart = 0.6 // of the limit, for Go's heap and stacks; the kernel's buffers and the program have the rest
-	gcPercent  = 400 // the heap is small: fewer collections leave the one core to requests
-)
+const gcPercent = 400 // the heap is small: fewer collections leave the one core to requests
 
 func main() {
 	// Nothing may wait for whoever reads the log: it is written under locks that every request takes.
@@ -128,7 +125,6 @@
 		}
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	return app.Run(ctx, c, reload, log)
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -14,6 +14,7 @@
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/front/http1"
+	"starlingvalve/internal/handover"
 	"starlingvalve/internal/member/registry"
 	"starlingvalve/internal/ops"
 	"starlingvalve/internal/peer"
@@ -38,14 +39,23 @@
 
 // Run serves until ctx ends and what has been taken by then is answered. On reload it reads the configuration again.
 func Run(ctx context.Context, c *Config, reload <-chan os.Signal, log *slog.Logger) error {
-	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Listen))
+	s, err := openSockets(c, log)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	return serve(ctx, c, tcp, reload, log)
+	return serve(ctx, c, s, reload, log)
 }
 
-func serve(ctx context.Context, c *Config, tcp *net.TCPListener, reload <-chan os.Signal, log *slog.Logger) error {
+func serve(ctx context.Context, c *Config, s *sockets, reload <-chan os.Signal, log *slog.Logger) error {
+	tcp := s.clients
+	if s.from != nil {
+		defer s.from.Close()
+		if k, err := takeState(s.from.State); err != nil {
+			log.Warn("what the predecessor knew is not taken", "err", err)
+		} else {
+			c.Known = k.List
+		}
+	}
 	var second *net.TCPListener
 	if c.Ops.IsValid() {
 		var err error
@@ -64,7 +74,10 @@
 	clients := int(float64(room) * clientPart)
 	var p *peer.Peers
 	var messenger core.Messenger
-	if c.PeerListen.IsValid() && c.Settings.MayMessage {
+	if s.peers != nil {
+		p = peer.New(s.peers, c.Peers, c.PeersAll, c.Settings.Self, log)
+		messenger = p
+	} else if c.PeerListen.IsValid() && c.Settings.MayMessage {
 		var err error
 		if p, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Self, log); err != nil {
 			tcp.Close()
@@ -102,7 +115,10 @@
 		defer writing.Wait() // once all that was taken has been answered, and seen
 		defer stopRecording()
 	}
-	var clientFront core.Front = http1.New(tcp, clients, handler, log)
+	clientFront := http1.New(tcp, clients, handler, log)
+	t := &takeover{front: clientFront, handler: handler, transport: transport, peers: p, loop: loop, clients: clients, servers: room - clients,
+		memoryMB: c.Limits.MemoryMB, setMemory: c.setMemory, log: log, before: s.from != nil, serves: s.from == nil}
+	t.set(func() {})
 
 	var running sync.WaitGroup
 	running.Go(func() { loop.Run(c.Known) })
@@ -135,6 +151,18 @@
 		running.Go(func() { g.server.Serve() })
 	}
 	running.Go(func() { follow(inner, c, loop, g, reload, log) })
+	if s.from != nil {
+		running.Go(func() { t.follow(inner, s.from) })
+	}
+	if c.Handover != "" {
+		keeper, err := handover.Keep(c.Handover, handover.Offer{Name: c.Name, Listener: tcp, Peers: s.peers, State: t.state,
+			Held: clientFront.Held, Changed: t.changed}, log)
+		if err != nil {
+			log.Warn("no successor can take over from this process; it may still listen beside it", "err", err)
+		} else {
+			running.Go(func() { keeper.Run(inner) })
+		}
+	}
 	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
 
 	select {
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -39,7 +39,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testNode{addr: tcp.Addr().String(), hup: make(chan os.Signal), stop: stop, ended: make(chan error, 1)}
-	go func() { n.ended <- serve(ctx, c, tcp, n.hup, testkit.Quiet); close(n.ended) }()
+	go func() { n.ended <- serve(ctx, c, &sockets{clients: tcp}, n.hup, testkit.Quiet); close(n.ended) }()
 	t.Cleanup(func() { stop(); <-n.ended })
 	return n // connections wait in the listener's queue until it serves
 }
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/gateway"
+	"starlingvalve/internal/handover"
 	"starlingvalve/internal/member/registry"
 	"starlingvalve/internal/recorder"
 	"starlingvalve/internal/wire"
@@ -33,6 +35,7 @@
 	Seed      int64
 	Limits    Limits
 	Ops       netip.AddrPort // the second address; invalid: there is none
+	Handover  string         // where this process and its successor meet; empty: nowhere
 	PeerListen,
 	PeersAll netip.AddrPort // invalid where nodes don't talk
 	Peers    []netip.AddrPort
@@ -41,7 +44,8 @@
 	Gateway  *gateway.Config  // nil: nothing crosses
 	Record   *recorder.Config // nil: nothing is recorded
 
-	reread func() (*Config, error)
+	reread    func() (*Config, error)
+	setMemory func(bytes int64) int64 // nil: the memory is not bounded
 }
 
 // The least that a node can run with, and what it takes where it isn't told.
@@ -66,6 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.setMemory = debug.SetMemoryLimit
 	c.reread = func() (*Config, error) {
 		return read(func(name string) string {
 			if name == "GW_DISCOVERY" { // it still has the address of the start: what is new is in the file
@@ -125,6 +130,7 @@
 			return nil, fmt.Errorf("%s: %s: %w", path, a.name, err)
 		}
 	}
+	c.Handover = handover.Path(getenv("TMPDIR"), c.Name, c.Listen)
 	for i, text := range in.Peers {
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -59,9 +59,9 @@
 	timers    timerHeap
 	queue     []decide.Event
 	handling  bool
-	listed    map[decide.ServerID]decide.ServerState // but for those that are gone
-	ready     int                                    // of them
-	version   *uint64                                // of the list; nil if discovery has moved and not told it yet
+	listed    map[decide.ServerID]Entry // but for those that are gone
+	ready     int                       // of them
+	version   *uint64                   // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
 }
@@ -95,7 +95,7 @@
 	return &Loop{classes: classes, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
 		messenger: o.Messenger, remote: o.Remote, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
 		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{},
-		figures: o.Figures, listed: map[decide.ServerID]decide.ServerState{}}, nil
+		figures: o.Figures, listed: map[decide.ServerID]Entry{}}, nil
 }
 
 // Headroom is the number of requests more that the servers would take while all stay calm: see decide.Module.Headroom.
@@ -104,6 +104,20 @@
 	return n
 }
 
+// Listed is the list as this node has it now. It is not whole if it was never told, or has moved and is not told yet.
+func (l *Loop) Listed() (list List) {
+	l.post(func() {
+		if l.version == nil {
+			return
+		}
+		list.Version, list.Full = *l.version, true
+		for _, e := range l.listed {
+			list.Entries = append(list.Entries, e)
+		}
+	})
+	return list
+}
+
 // Able tells whether some server is ready.
 func (l *Loop) Able() bool { return l.able.Load() }
 
@@ -515,12 +529,12 @@
 	}
 	e := decide.ListUpdate{Kind: kind, Version: n.Version}
 	for _, s := range n.Entries {
-		if was, ok := l.listed[s.ID]; ok && was == decide.Ready {
+		if was, ok := l.listed[s.ID]; ok && was.State == decide.Ready {
 			l.ready--
 		}
 		delete(l.listed, s.ID)
 		if s.State != decide.Gone {
-			l.listed[s.ID] = s.State
+			l.listed[s.ID] = s
 		}
 		if s.State == decide.Ready {
 			l.ready++
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -50,6 +50,7 @@
 	longest   time.Duration
 	drainEnd  atomic.Pointer[time.Time] // set once the node is to end
 	closing   atomic.Bool               // it takes no more requests
+	leaving   atomic.Bool               // each answer is the last on its connection
 	open      atomic.Int64              // requests that the module has
 	maxOpen   int64
 	bodies    atomic.Int64 // bytes of bodies that are held
@@ -81,6 +82,9 @@
 // Drain has the node called not ready, and each request answered by end.
 func (f *Handler) Drain(end time.Time) { f.drainEnd.Store(&end) }
 
+// Leave has clients sent to a new connection with their next answer, or no more.
+func (f *Handler) Leave(on bool) { f.leaving.Store(on) }
+
 // Longest is the longest deadline of any class.
 func (f *Handler) Longest() time.Duration { return f.longest }
 
@@ -307,7 +311,7 @@
 	if h["Content-Type"] == nil {
 		h["Content-Type"] = nil // else net/http would guess one
 	}
-	if f.closing.Load() { // it may have begun while the request was out
+	if f.closing.Load() || f.leaving.Load() { // it may have begun while the request was out
 		h.Set("Connection", "close")
 	}
 	if a.Status == http.StatusConflict {
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"starlingvalve/internal/pause"
 )
 
 const (
@@ -20,9 +22,10 @@
 // with no request open makes room, else the new one is refused. Silent clients then shut out nobody.
 type admission struct {
 	*net.TCPListener
-	limit int
+	gate pause.Gate // shut: no connection is accepted
 
 	mu          sync.Mutex
+	limit       int
 	count       int
 	fresh, idle *queue.List // of *clientConn: no request yet; none open now. The longest wait is first
 }
@@ -48,6 +51,9 @@
 	for {
 		tcp, err := a.AcceptTCP()
 		if err != nil {
+			if a.gate.Retry(err) {
+				continue
+			}
 			return nil, err
 		}
 		if c := a.admit(tcp); c != nil {
@@ -80,6 +86,19 @@
 	return c
 }
 
+// Close is net.Listener's.
+func (a *admission) Close() error {
+	err := a.TCPListener.Close()
+	a.gate.End()
+	return err
+}
+
+func (a *admission) setLimit(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limit = n
+}
+
 func (a *admission) held() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -53,13 +53,24 @@
 // Close is core.Front's.
 func (f *Front) Close() { f.server.Close() }
 
+// Accept has connections taken, or left in the listener's queue for another process that has it too.
+func (f *Front) Accept(on bool) { f.door.gate.Set(on, f.door.SetDeadline) }
+
+// SetLimit changes how many clients' connections may be open. Those that are stay.
+func (f *Front) SetLimit(n int) { f.door.setLimit(n) }
+
+// Held is how many clients' connections are open.
+func (f *Front) Held() int { return f.door.held() }
+
 // Drain is core.Front's. Clients still come for a moment, and what the kernel has accepted counts as taken: so the
 // listener stays open for that long. On the connections that they have they are served for as long as an answer can
 // come by the end: the others of its zone may be few, and have its clients soon enough.
 func (f *Front) Drain(end time.Time) {
-	f.handler.Drain(end) // by then all is answered
-	time.Sleep(drainAccept)
-	f.door.TCPListener.Close()
+	f.handler.Drain(end)     // by then all is answered
+	if !f.door.gate.Shut() { // else a successor takes what comes, from the same queue
+		time.Sleep(drainAccept)
+	}
+	f.door.Close()
 	for time.Until(end) > lastCall && f.door.held() > 0 {
 		time.Sleep(drainLook)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"starlingvalve/internal/pause"
 )
 
 const (
@@ -29,6 +31,7 @@
 	all   netip.AddrPort
 	self  int
 	queue chan datagram
+	gate  pause.Gate // shut: another process of this node speaks for it
 	log   *slog.Logger
 }
 
@@ -39,12 +42,24 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	return &Peers{conn: conn, nodes: nodes, all: all, self: self, queue: make(chan datagram, datagramQueue), log: log}, nil
+	return New(conn, nodes, all, self, log), nil
+}
+
+// New does so on a socket that is there.
+func New(conn *net.UDPConn, nodes []netip.AddrPort, all netip.AddrPort, self int, log *slog.Logger) *Peers {
+	return &Peers{conn: conn, nodes: nodes, all: all, self: self, queue: make(chan datagram, datagramQueue), log: log}
+}
+
+// Speak has datagrams sent and heard, or left to another process that has the socket too.
+func (p *Peers) Speak(on bool) {
+	if p != nil {
+		p.gate.Set(on, p.conn.SetReadDeadline)
+	}
 }
 
 // Send never blocks.
 func (p *Peers) Send(to int, toAll bool, data []byte) {
-	if p == nil || len(data) > DatagramLimit {
+	if p == nil || len(data) > DatagramLimit || p.gate.Shut() {
 		return
 	}
 	var dest []netip.AddrPort
@@ -70,6 +85,7 @@
 
 // Write sends what is queued until ctx ends, and then ends Read too.
 func (p *Peers) Write(ctx context.Context) {
+	defer p.gate.End()
 	defer p.conn.Close()
 	for {
 		select {
@@ -95,6 +111,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil && p.gate.Retry(err) {
+			continue
+		}
 		if err != nil { // an earlier datagram's refusal: no reason to stop, nor to spin
 			time.Sleep(time.Millisecond)
 			continue
--- a/internal/upstream/http1/backend.go
+++ b/internal/upstream/http1/backend.go
@@ -177,6 +177,14 @@
 	}
 }
 
+// SetLimit changes how many connections may be open. Idle ones beyond it are closed.
+func (b *Transport) SetLimit(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.limit = n; b.open > b.limit && b.evict(); {
+	}
+}
+
 func (b *Transport) find(id decide.ServerID) *host {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -326,7 +334,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !keep || h.closed {
+	if !keep || h.closed || b.open > b.limit {
 		b.drop(c)
 		return
 	}
