Long answers and bodies pass as they come; chunked bodies and answers that end with their connection

Change: the streaming path of docs/design/service.md; n holds what a server has whole and has not begun to answer (decide/transfer.go); Content-Length beside Transfer-Encoding is seen by a scanner beside the connection and answered 400.

--- a/decide/api.go
+++ b/decide/api.go
@@ -227,6 +227,8 @@
 		Repeat   bool // the client has tried before
 		Write    bool
 		Foreign  bool // another site hands it over: served only from what this one has to spare
+		// Uploading: a long body is still coming. All times count from its end, which BodyEnded tells.
+		Uploading bool
 	}
 	// ListUpdate is news of the servers.
 	ListUpdate struct {
@@ -244,6 +246,13 @@
 		Own     time.Duration // part of Elapsed that passed in the node itself: its run queue, its core
 		Code    OutcomeCode
 		Report  *Report // nil if none came
+		Spent   bool    // of an upload so much has gone out that no other attempt can be made
+	}
+	// BodyEnded says that the body of an upload has been written whole to the attempt's server.
+	BodyEnded struct {
+		ID       RequestID
+		Attempt  int
+		Patience time.Duration // until the client stops waiting, from now on
 	}
 	// StreamStarted says that a streamed answer has begun.
 	StreamStarted struct {
@@ -251,6 +260,7 @@
 		Attempt int
 		Server  ServerID
 		Elapsed time.Duration
+		Own     time.Duration // as AttemptEnded's
 	}
 	// RequestAbandoned says that the client is gone; nothing is owed.
 	RequestAbandoned struct{ ID RequestID }
@@ -273,6 +283,7 @@
 func (RequestArrived) event()   {}
 func (ListUpdate) event()       {}
 func (AttemptEnded) event()     {}
+func (BodyEnded) event()        {}
 func (StreamStarted) event()    {}
 func (RequestAbandoned) event() {}
 func (ProbeEnded) event()       {}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -120,11 +120,10 @@
 		m.follow(e)
 	case AttemptEnded:
 		m.ended(e)
+	case BodyEnded:
+		m.bodyEnded(e)
 	case StreamStarted:
-		if r := m.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
-			r.started = true
-			m.learn(r.attempts[e.Attempt].server, r.class, e.Elapsed, 0)
-		}
+		m.streamStarted(e)
 	case RequestAbandoned:
 		if r := m.requests[e.ID]; r != nil && !r.done {
 			m.close(r)
@@ -595,7 +594,7 @@
 
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
-	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, m.set.MaxAttempts) ||
+	if r.done || r.started || r.spent || m.now >= r.deadline || len(r.attempts) >= max(1, m.set.MaxAttempts) ||
 		s.State != Ready || r.out >= 2 || r.out > 0 && !m.set.MayOverlap {
 		return false
 	}
@@ -629,10 +628,10 @@
 	}
 	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true})
 	r.out++
-	s.n++
 	s.tokens--
-	if s.unanswered++; s.unanswered == 1 {
-		s.muteSince = m.now
+	if !r.uploading {
+		m.load(&r.attempts[len(r.attempts)-1])
+		m.await(s)
 	}
 	m.place(s)
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
@@ -670,7 +669,7 @@
 		return
 	}
 	c := m.classOf(e.Class)
-	r := &request{id: e.ID, class: c, arrived: m.now, deadline: m.now + e.Patience}
+	r := &request{id: e.ID, class: c, arrived: m.now, deadline: m.now + e.Patience, uploading: e.Uploading}
 	m.requests[e.ID], m.open = r, append(m.open, r)
 	m.arrivals, m.arrivedAt = m.arrivals*decay(m.now-m.arrivedAt, rateMemory)+1/rateMemory, m.now
 	m.worth += classGain * (c.Worth - m.worth)
@@ -887,7 +886,8 @@
 	a := &r.attempts[e.Attempt]
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
-	a.server.n--
+	r.spent = r.spent || e.Spent
+	m.unload(a)
 	m.forget(a.server)
 	m.reported(a.server, e.Report)
 	m.judge(a.server, r, e)
@@ -993,7 +993,7 @@
 	}
 	open := m.open[:0]
 	for _, r := range m.open {
-		if !r.done && !r.started && m.now >= r.deadline {
+		if !r.done && !r.started && !(r.uploading && r.out > 0) && m.now >= r.deadline {
 			m.finish(r, ByServers) // guards against an outcome that never comes
 		}
 		if !r.done {
--- a/decide/state.go
+++ b/decide/state.go
@@ -67,6 +67,7 @@
 type attempt struct {
 	server        *server
 	sent          Time
+	loads         bool // it counts in its server's n
 	ended, mayRun bool // mayRun: out, or ended without proof that it never ran
 }
 
@@ -79,6 +80,7 @@
 	out                            int
 	foreign                        bool // from another site
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
+	uploading, spent               bool // its body still comes; too little of it is left for another attempt
 }
 
 type tenant struct {
--- /dev/null
+++ b/internal/app/long_test.go
@@ -0,0 +1,232 @@
+package app
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/testkit"
+)
+
+// long is a body of n bytes in which no piece is like another.
+func long(n int) []byte {
+	var b bytes.Buffer
+	for i := 0; b.Len() < n; i++ {
+		sum := sha256.Sum256([]byte{byte(i), byte(i >> 8), byte(i >> 16)})
+		b.Write(bytes.Repeat(sum[:], 32))
+	}
+	return b.Bytes()[:n]
+}
+
+// inChunks puts a body into chunks of so many bytes, with extensions and trailers.
+func inChunks(body []byte, size int) string {
+	var b strings.Builder
+	for len(body) > 0 {
+		n := min(size, len(body))
+		fmt.Fprintf(&b, "%x;ext=\"a;b\"\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return b.String() + "0\r\nX-Sum: 1\r\n\r\n"
+}
+
+func TestLongAnswers(t *testing.T) {
+	t.Parallel()
+	want := long(3<<20 + 17)
+	for name, answer := range map[string]string{
+		"by length":          testkit.OK(string(want)),
+		"by chunks":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(want, 100_000),
+		"by small chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(want, 999),
+		"by connection":      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + string(want),
+		"with another after": testkit.OK(string(want)) + testkit.OK("x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := testkit.Server(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				for text := answer; text != ""; { // in pieces of odd sizes
+					n := min(len(text), 70_001)
+					io.WriteString(c, text[:n])
+					text = text[n:]
+				}
+				if name != "by connection" {
+					io.Copy(io.Discard, c)
+				}
+			})
+			n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+			resp, got := n.ask(t, message("read", "9.5", ""))
+			if resp.StatusCode != 200 || got != string(want) {
+				t.Errorf("status %d, %d bytes of %d", resp.StatusCode, len(got), len(want))
+			}
+		})
+	}
+}
+
+// A long answer that its server does not finish, or whose length is wrong, is never whole to the client.
+func TestLongAnswerCut(t *testing.T) {
+	t.Parallel()
+	body := long(1 << 20)
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(body, 65_000)
+	whole := testkit.OK(string(body))
+	for name, answer := range map[string]string{
+		"length, half":       whole[:1<<19],
+		"length, last byte":  whole[:len(whole)-1],
+		"length, noise":      whole + "\x8e1\xc0",
+		"chunks, half":       chunked[:1<<19],
+		"chunks, in a size":  chunked[:strings.LastIndex(chunked, "0\r\nX-Sum")+1],
+		"chunks, no trailer": chunked[:len(chunked)-2],
+		"chunks, malformed":  chunked[:1<<19] + "\x00zz" + chunked[1<<19:],
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := testkit.Server(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					io.WriteString(c, answer)
+				}
+			})
+			n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+			c, err := net.Dial("tcp", n.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(testkit.Patient))
+			io.WriteString(c, message("read", "9.5", ""))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return // it has been cut before its head: the client sees that too
+			}
+			if got, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == 200 {
+				t.Errorf("%d bytes look whole", len(got))
+			}
+		})
+	}
+}
+
+// Long bodies go on as they come, in any form; short ones in chunks are held and have a length.
+func TestLongBodies(t *testing.T) {
+	t.Parallel()
+	type got struct {
+		body   []byte
+		length int64
+	}
+	seen := make(chan got, 8)
+	addr := testkit.Server(t, testkit.Answering(func(r *http.Request, body []byte) string {
+		seen <- got{body, r.ContentLength}
+		return testkit.OK("done")
+	}))
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	head := func(form string) string {
+		return fmt.Sprintf("POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: long%d\r\nX-Time-Left: 9\r\n%s\r\n\r\n", ids.Add(1), form)
+	}
+	for _, size := range []int{1, 64 << 10, 64<<10 + 1, 3 << 20} {
+		body := long(size)
+		for form, text := range map[string]string{
+			fmt.Sprintf("Content-Length: %d", size): string(body),
+			"Transfer-Encoding: chunked":            inChunks(body, 30_000),
+		} {
+			resp, answer := n.ask(t, head(form)+text)
+			if resp.StatusCode != 200 || answer != "done" {
+				t.Fatalf("%d bytes, %s: status %d", size, form, resp.StatusCode)
+			}
+			g := <-seen
+			if want := int64(size); !bytes.Equal(g.body, body) || g.length != want && (size < 64<<10 || g.length != -1) {
+				t.Errorf("%d bytes, %s: the server got %d, length %d", size, form, len(g.body), g.length)
+			}
+		}
+	}
+}
+
+// A body whose last byte never went out has not run: the answer may be a refusal, and there is no second attempt with what is left of it.
+func TestLongBodyServerBreaks(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	heads := 0
+	addr := testkit.Server(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			mu.Lock()
+			heads++
+			mu.Unlock()
+			io.CopyN(io.Discard, c, 1<<19)
+			c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	body := long(8 << 20)
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testkit.Patient))
+	go fmt.Fprintf(c, "POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: breaks\r\nX-Time-Left: 9\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("status %d, closes %v", resp.StatusCode, resp.Close)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if heads != 1 {
+		t.Errorf("%d attempts", heads)
+	}
+}
+
+// A body that trickles or stalls ends in an error within the time of a bad client; one at the pace of a good client does not.
+func TestPaceOfBodies(t *testing.T) {
+	t.Parallel()
+	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("done") }))
+	n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+	const size = 200_000
+	for name, pace := range map[string]int{"good": 64_000, "trickle": 10_000, "stall": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", n.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(testkit.Patient))
+			began := time.Now()
+			fmt.Fprintf(c, "POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: pace%s\r\nX-Time-Left: 9\r\nContent-Length: %d\r\n\r\n", name, size)
+			stop := make(chan struct{})
+			var writing sync.WaitGroup
+			writing.Go(func() {
+				tick := time.NewTicker(50 * time.Millisecond)
+				defer tick.Stop()
+				for sent := 0; sent < size; {
+					piece := min(size-sent, max(0, int(time.Since(began).Seconds()*float64(pace))-sent)) // behind by a late tick, never for good
+					if _, err := c.Write(make([]byte, piece)); err != nil {
+						return
+					}
+					sent += piece
+					select {
+					case <-stop:
+						return
+					case <-tick.C:
+					}
+				}
+			})
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			close(stop)
+			writing.Wait()
+			switch {
+			case err != nil:
+				t.Fatal(err)
+			case name == "good" && resp.StatusCode != 200, name != "good" && resp.StatusCode != 408:
+				t.Errorf("status %d after %v", resp.StatusCode, time.Since(began))
+			}
+		})
+	}
+}
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -28,8 +28,24 @@
 	}
 	to.WriteString("X-Time-Left: ")
 	left := max(0, time.Until(x.Deadline))
+	if x.Upload != nil {
+		left = x.Upload.Patience
+	}
 	to.Write(strconv.AppendFloat(to.AvailableBuffer(), left.Seconds(), 'f', 3, 64))
-	if len(x.Body) > 0 || x.Method == http.MethodPost {
+	if x.Upload != nil && x.Upload.Length < 0 {
+		to.WriteString("\r\nTransfer-Encoding: chunked\r\n\r\n")
+		if len(x.Body) > 0 {
+			to.Write(strconv.AppendInt(to.AvailableBuffer(), int64(len(x.Body)), 16))
+			to.WriteString("\r\n")
+			to.Write(x.Body)
+			to.WriteString("\r\n")
+		}
+		return
+	}
+	if x.Upload != nil {
+		to.WriteString("\r\nContent-Length: ")
+		to.Write(strconv.AppendInt(to.AvailableBuffer(), x.Upload.Length, 10))
+	} else if len(x.Body) > 0 || x.Method == http.MethodPost {
 		to.WriteString("\r\nContent-Length: ")
 		to.Write(strconv.AppendInt(to.AvailableBuffer(), int64(len(x.Body)), 10))
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -264,7 +264,7 @@
 		r.window = c.DedupWindow
 	}
 	l.requests[r.Arrived.ID] = r
-	r.Arrived.Patience = time.Until(r.Deadline)
+	r.Arrived.Patience, r.Arrived.Uploading = time.Until(r.Deadline), r.Upload != nil
 	l.handle(r.Arrived)
 	r.arriving = false
 }
@@ -273,7 +273,7 @@
 // the same id coming again would be a second copy.
 func (l *Loop) cross(id decide.RequestID, refusal Answer) bool {
 	r := l.requests[id]
-	if l.remote == nil || r == nil || r.over || r.abroad != nil {
+	if l.remote == nil || r == nil || r.over || r.abroad != nil || r.Upload != nil {
 		return false
 	}
 	ran := r.out > 0
@@ -364,9 +364,11 @@
 			break
 		}
 	}
+	if x.Upload = r.Upload; x.Upload != nil {
+		x.Written = func() { l.uploaded(r, t, n) }
+	}
 	h := l.transport.Find(a.Server)
 	run := func() {
-		defer cancel()
 		t.begun = time.Now()
 		res := Result{Code: decide.ConnectFailed, Err: errUnlisted}
 		if h != nil {
@@ -375,6 +377,10 @@
 		res.At = time.Now()
 		l.post(func() { l.over(a, n, res) })
 	}
+	if r.runs != nil {
+		r.runs <- run // it has room for each
+		return
+	}
 	// Where an attempt can't be called off, the front may not be held by it: its client may go.
 	if r.arriving && r.attempt == nil && l.settings.MayCancel {
 		r.attempt = run
@@ -387,7 +393,14 @@
 func (l *Loop) over(a decide.Send, n int, res Result) {
 	r := l.requests[a.ID]
 	t := r.attempts[n]
+	if res.Rest != nil && !r.over {
+		l.stream(r, t, a, n, res)
+		return
+	}
 	t.cancel()
+	if res.Rest != nil { // the request has its answer
+		res.Code = res.Rest.Close()
+	}
 	t.neverRan = res.Code == decide.Full || res.Code == decide.ConnectFailed || res.Code == decide.Moot
 	r.out--
 	switch {
@@ -407,7 +420,47 @@
 	}
 	elapsed := time.Since(t.sent)
 	l.handle(decide.AttemptEnded{ID: a.ID, Attempt: n, Server: a.Server, Over: r.over, Elapsed: elapsed, Own: t.own(res.At, l.lag.value(), elapsed),
-		Code: res.Code, Report: res.Report})
+		Code: res.Code, Report: res.Report, Spent: r.Upload != nil && r.Upload.Spent})
+}
+
+// uploaded notes that a body has been written whole: the request's time begins.
+func (l *Loop) uploaded(r *Request, t *attempt, n int) {
+	l.figures.Sent()
+	l.post(func() {
+		t.sent = time.Now()
+		t.begun = t.sent
+		r.Deadline = t.sent.Add(r.Upload.Patience)
+		l.handle(decide.BodyEnded{ID: r.Arrived.ID, Attempt: n, Patience: r.Upload.Patience})
+	})
+}
+
+// stream gives the client the beginning of an answer. The attempt is out until the rest has passed.
+func (l *Loop) stream(r *Request, t *attempt, a decide.Send, n int, res Result) {
+	elapsed := time.Since(t.sent)
+	r.over = true
+	r.answer <- Answer{Status: http.StatusOK, Header: res.Header, Body: res.Body, Length: res.Length, Work: elapsed,
+		Rest: &passing{Rest: res.Rest, end: func(code decide.OutcomeCode) {
+			t.cancel()
+			l.post(func() {
+				if r.out--; r.out == 0 {
+					delete(l.requests, a.ID)
+				}
+				l.handle(decide.AttemptEnded{ID: a.ID, Attempt: n, Server: a.Server, Over: true, Elapsed: time.Since(t.sent), Code: code, Report: res.Report})
+			})
+		}}}
+	l.handle(decide.StreamStarted{ID: a.ID, Attempt: n, Server: a.Server, Elapsed: elapsed, Own: t.own(res.At, l.lag.value(), elapsed)})
+}
+
+// passing is a Rest whose end the loop is told.
+type passing struct {
+	Rest
+	end func(decide.OutcomeCode)
+}
+
+func (p *passing) Close() decide.OutcomeCode {
+	code := p.Rest.Close()
+	p.end(code)
+	return code
 }
 
 // own is the part of an attempt's time that passed in this node: before it began, until its answer was noticed, and
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -113,6 +114,26 @@
 	Deadline time.Time // the node waits no longer
 	WriteBy  time.Time // if set, nothing is written from then on
 	Written  func()    // if set, told once the last byte has been written
+	Upload   *Upload   // what comes after Body; nil: nothing
+}
+
+// Upload is what of a client's body a front has not read yet. Attempts of its request run one after another, in the goroutine
+// of the front that serves it.
+type Upload struct {
+	io.Reader               // its reads end in time
+	Length    int64         // of the whole body, what has been read included; -1: not known before its end
+	Patience  time.Duration // of the client, from the body's last byte on
+	Spent     bool          // some of it has been read: no other attempt can be made
+	Fault     func() int    // the status of an answer where a read has failed
+}
+
+// Rest is what of an answer has not been read from its server yet.
+type Rest interface {
+	// Copy hands what comes to write, in pieces that are good until it returns, the last one once the answer's end is known to be its
+	// own. Unless it returns nil the answer is not whole, and whoever gets it has to be shown so.
+	Copy(write func([]byte) error) error
+	// Close lets go of the server, once, and tells how the attempt ended.
+	Close() decide.OutcomeCode
 }
 
 // Result is how an exchange ended.
@@ -121,8 +142,10 @@
 	At     time.Time // the exchange was over
 	Report *decide.Report
 	Header http.Header
-	Body   []byte
-	Client int // the status of an answer that puts the fault with the client; 0: none
+	Body   []byte // or its beginning, where there is a Rest
+	Rest   Rest   // nil: Body is all
+	Length int64  // of the whole body, where there is a Rest; -1: not known before its end
+	Client int    // the status of an answer that puts the fault with the client; 0: none
 	Err    error
 }
 
@@ -132,7 +155,9 @@
 type Answer struct {
 	Status  int
 	Header  http.Header
-	Body    []byte
+	Body    []byte // or its beginning, where there is a Rest, which is the front's to close
+	Rest    Rest
+	Length  int64
 	HoldOff time.Duration // when the client may come back; 0: not told
 	Reason  decide.Reason // of a refusal
 	Work    time.Duration // how long the attempt that served it took; 0: none of ours did
@@ -146,11 +171,13 @@
 	URL      *url.URL
 	Header   http.Header // end to end
 	Body     []byte
+	Upload   *Upload // what comes after Body; nil: nothing. Deadline is then for its beginning
 
 	// The rest belongs to the loop.
 	answer   chan Answer // holds one: the final answer
 	arriving bool        // in the front's own goroutine, which can make the first attempt itself
 	attempt  func()      // that attempt
+	runs     chan func() // attempts with an upload
 	over     bool
 	out      int
 	attempts []*attempt
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -17,14 +17,16 @@
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
+	"starlingvalve/internal/pace"
 	"starlingvalve/internal/stats"
 )
 
 const (
-	BodyLimit     = 64 << 10                // bytes of a request's body
-	bodyWait      = 1200 * time.Millisecond // for its body, all of it
-	writeWait     = 5 * time.Second         // for the client to take its answer
-	lingerWait    = 200 * time.Millisecond  // for the rest of what has been turned away, so that it gets to read why
+	BodyLimit     = 64 << 10               // bytes of a request's body that are held
+	longLimit     = 40 << 20               // bytes of a request's body, in any form
+	foreignLimit  = 1 << 20                // bytes of an answer that goes to another site, which is held
+	writeWait     = 5 * time.Second        // for the client to take its answer, or of a long one the next piece
+	lingerWait    = 200 * time.Millisecond // for the rest of what has been turned away, so that it gets to read why
 	patienceLimit = time.Hour
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
 	answerMargin = 10 * time.Millisecond
@@ -35,6 +37,9 @@
 type Handler struct {
 	// Lost, if set, tells whether a request's connection was closed while the request was on its way: it is dropped.
 	Lost func(*http.Request) bool
+	// Doubtful, if set, tells whether a request's end can be read in two ways: it has both a length and a transfer coding. It is asked once for
+	// each request, in their order on a connection.
+	Doubtful func(*http.Request) bool
 	// Foreign requests come from another site: they are served from what this one has to spare, and keyed ones are not
 	// taken, as the servers here have not seen the keys that those of their own site have.
 	Foreign bool
@@ -95,6 +100,7 @@
 func (f *Handler) Ready() bool { return f.drainEnd.Load() == nil && f.loop.Able() }
 
 func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	doubtful := f.Doubtful != nil && f.Doubtful(r)
 	class, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if class == "health" && (rest == "ready" || rest == "live") && r.ContentLength == 0 {
 		if rest == "ready" && !f.Ready() {
@@ -120,24 +126,41 @@
 		return
 	}
 	patience, status, fault := check(r, settings)
+	if doubtful {
+		status, fault = http.StatusBadRequest, "both Content-Length and Transfer-Encoding"
+	}
 	if fault != "" {
 		turnAway(status, fault)
 		return
 	}
-	defer f.bodies.Add(-r.ContentLength)
-	if f.bodies.Add(r.ContentLength) > f.maxBodies {
+	holds := r.ContentLength
+	if holds < 0 || holds > BodyLimit {
+		holds = BodyLimit
+	}
+	defer f.bodies.Add(-holds)
+	if f.bodies.Add(holds) > f.maxBodies {
 		w.Header().Set("Connection", "close") // its body is not read
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerWait))
 		answer(core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
 		return
 	}
-	body, status, fault := readBody(w, r)
+	body, upload, status, fault := readBody(w, r)
 	if fault != "" {
 		turnAway(status, fault)
 		return
 	}
-	f.Figures.Taken(1)
-	defer f.Figures.Taken(-1)
+	if upload != nil {
+		upload.Patience = patience - answerMargin
+		upload.taken = func() { f.Figures.Taken(1) }
+		defer func() {
+			if upload.ended {
+				f.Figures.Taken(-1)
+			}
+		}()
+	} else {
+		f.Figures.Taken(1)
+		defer f.Figures.Taken(-1)
+	}
 	if f.Lost != nil && f.Lost(r) {
 		panic(http.ErrAbortHandler)
 	}
@@ -148,6 +171,9 @@
 	}
 	req := newRequest(r, class, patience, body)
 	req.Arrived.Foreign = f.Foreign
+	if upload != nil {
+		req.Upload = &upload.Upload
+	}
 	if end := f.drainEnd.Load(); end != nil && req.Deadline.After(*end) {
 		req.Deadline = *end
 	}
@@ -162,6 +188,14 @@
 		reject(w, http.StatusBadRequest, "the client has closed")
 		return
 	}
+	if upload != nil && !upload.ended {
+		w.Header().Set("Connection", "close") // what is left of its body is not read
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerWait))
+	}
+	if a.Rest != nil {
+		f.pass(w, class, a)
+		return
+	}
 	answer(a)
 }
 
@@ -191,13 +225,13 @@
 	switch {
 	case !r.ProtoAtLeast(1, 1): // net/http would pass over a Transfer-Encoding there
 		return 0, http.StatusHTTPVersionNotSupported, "HTTP/1.1 only"
-	case len(r.TransferEncoding) > 0: // a Content-Length beside it is gone by now
-		return 0, http.StatusLengthRequired, "Content-Length only"
 	case r.Method != http.MethodGet && r.Method != http.MethodPost, r.Method != method:
 		return 0, http.StatusMethodNotAllowed, "the class wants " + method
 	case method == http.MethodGet && r.ContentLength > 0:
 		return 0, http.StatusBadRequest, "GET takes no body"
-	case r.ContentLength > BodyLimit:
+	case method == http.MethodGet && len(r.TransferEncoding) > 0:
+		return 0, http.StatusBadRequest, "GET takes no body"
+	case r.ContentLength > longLimit:
 		return 0, http.StatusRequestEntityTooLarge, "the body is too large"
 	case !one(r.Header["X-Correlation-Id"]):
 		return 0, http.StatusBadRequest, "want one X-Correlation-Id"
@@ -217,22 +251,65 @@
 
 func one(values []string) bool { return len(values) == 1 && values[0] != "" }
 
-// readBody takes in the body, whole and in time, or says what is wrong with it.
-func readBody(w http.ResponseWriter, r *http.Request) (body []byte, status int, fault string) {
+// readBody takes in the body, whole and in time, or its beginning if it is long, or says what is wrong with it.
+func readBody(w http.ResponseWriter, r *http.Request) (body []byte, rest *upload, status int, fault string) {
 	if r.ContentLength == 0 {
-		return nil, 0, ""
+		return nil, nil, 0, ""
 	}
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyWait))
-	body, err := io.ReadAll(r.Body) // grows with what has come, whatever the length says
+	u := &upload{control: http.NewResponseController(w), body: r.Body, began: time.Now(), length: r.ContentLength}
+	body, err := io.ReadAll(io.LimitReader(u, BodyLimit)) // grows with what has come, whatever the length says
+	if err == nil && len(body) == BodyLimit && r.ContentLength != BodyLimit {
+		u.Upload = core.Upload{Reader: u, Length: r.ContentLength, Fault: func() int { status, _ := u.fault(); return status }}
+		return body, u, 0, ""
+	}
+	if err != nil {
+		status, fault = u.fault()
+		return nil, nil, status, fault
+	}
+	u.control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
+	return body, nil, 0, ""
+}
+
+// upload is a body that is read as it comes, at the pace of a good client at least.
+type upload struct {
+	core.Upload
+	control *http.ResponseController
+	body    io.Reader
+	began   time.Time
+	brought int64
+	length  int64  // -1: not known
+	taken   func() // told once, when all of it has come
+	ended   bool
+	err     error
+}
+
+var errLong = errors.New("the body is too large")
+
+func (u *upload) Read(p []byte) (int, error) {
+	u.control.SetReadDeadline(pace.Deadline(u.began, u.brought))
+	n, err := u.body.Read(p)
+	if u.brought += int64(n); u.brought > longLimit {
+		err = errLong
+	}
+	if u.err = err; !u.ended && (errors.Is(err, io.EOF) || err == nil && u.brought == u.length) {
+		u.ended, u.err = true, nil
+		if u.taken != nil {
+			u.taken()
+		}
+		u.control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
+	}
+	return n, err
+}
+
+// fault says what is wrong with a body of which a read has failed.
+func (u *upload) fault() (status int, text string) {
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, http.StatusRequestTimeout, "the body does not come"
-	case err != nil:
-		return nil, http.StatusBadRequest, "the body is malformed"
+	case errors.Is(u.err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, "the body does not come"
+	case errors.Is(u.err, errLong):
+		return http.StatusRequestEntityTooLarge, "the body is too large"
 	}
-	control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
-	return body, 0, ""
+	return http.StatusBadRequest, "the body is malformed"
 }
 
 func newRequest(r *http.Request, class string, patience time.Duration, body []byte) *core.Request {
@@ -298,6 +375,67 @@
 
 // write sends the final answer. It is the only one: each request comes here once.
 func (f *Handler) write(w http.ResponseWriter, a core.Answer) {
+	f.head(w, a)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
+	w.WriteHeader(a.Status)
+	w.Write(a.Body)
+}
+
+// pass sends an answer whose rest is still coming, piece by piece. One that can't be finished ends in a way that its client notices: its
+// length is short, or its last chunk is missing.
+func (f *Handler) pass(w http.ResponseWriter, class string, a core.Answer) {
+	closed := false
+	defer func() {
+		if !closed {
+			a.Rest.Close()
+		}
+	}()
+	if f.Foreign { // it is held whole
+		var body []byte
+		err := a.Rest.Copy(func(p []byte) error {
+			if len(a.Body)+len(body)+len(p) > foreignLimit {
+				return errLong
+			}
+			body = append(body, p...)
+			return nil
+		})
+		if err != nil {
+			a = core.Answer{Status: http.StatusBadGateway, Rest: a.Rest}
+		}
+		f.write(w, core.Answer{Status: a.Status, Header: a.Header, Body: append(a.Body, body...)})
+		f.Figures.End(class, a.Status)
+		return
+	}
+	f.head(w, a)
+	control := http.NewResponseController(w)
+	send := func(p []byte) error {
+		control.SetWriteDeadline(time.Now().Add(writeWait))
+		if _, err := w.Write(p); err != nil {
+			return err
+		}
+		return control.Flush()
+	}
+	if a.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	control.SetWriteDeadline(time.Now().Add(writeWait))
+	w.WriteHeader(a.Status)
+	err := send(a.Body)
+	if err == nil {
+		err = a.Rest.Copy(send)
+	}
+	closed = true
+	a.Rest.Close()
+	if err != nil {
+		f.Figures.End(class, http.StatusBadGateway)
+		panic(http.ErrAbortHandler)
+	}
+	f.Figures.End(class, a.Status)
+}
+
+// head sets the header of an answer, but for its length.
+func (f *Handler) head(w http.ResponseWriter, a core.Answer) {
 	h := w.Header()
 	if a.Header != nil {
 		closing := h["Connection"]
@@ -317,14 +455,10 @@
 	if a.Status == http.StatusConflict {
 		h.Set("Connection", "close")
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	if a.Status == http.StatusServiceUnavailable {
 		h.Set("X-Refused-By", [...]string{decide.ByServers: "servers", decide.ByNode: "node"}[a.Reason])
 	}
 	if a.HoldOff > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
 	}
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
-	w.WriteHeader(a.Status)
-	w.Write(a.Body)
 }
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -36,6 +36,9 @@
 	owner *admission
 	once  sync.Once
 
+	scanning sync.Mutex // a reader in the background beside the handler
+	scan     scan
+
 	// Under the owner's lock.
 	in      *queue.List // that it waits in, if it does
 	place   *queue.Element
@@ -152,6 +155,25 @@
 	return c.evicted
 }
 
+// Read follows what comes.
+func (c *clientConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		c.scanning.Lock()
+		kept := c.scan.feed(p[:n])
+		c.scanning.Unlock()
+		if kept > 0 || n == 0 || err != nil {
+			return kept, err
+		}
+	}
+}
+
+func (c *clientConn) doubtful() bool {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	return c.scan.doubtful()
+}
+
 func (c *clientConn) Close() error {
 	err := net.ErrClosed
 	c.once.Do(func() {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// A connection that brings no whole request within 3 s has been answered or closed by then.
-	headerWait  = 1500 * time.Millisecond // for a request's header, all of it
+	// A connection that brings no whole header within 3 s has been answered or closed by then; good clients take 2 s for one.
+	headerWait  = 2600 * time.Millisecond // for a request's header, all of it
 	idleWait    = 2100 * time.Millisecond // a client may count on 2 s; many ask once and keep what others then lack
 	headerLimit = 16 << 10
 
@@ -40,6 +40,7 @@
 func New(tcp *net.TCPListener, conns int, h *front.Handler, log *slog.Logger) *Front {
 	f := &Front{handler: h, door: newAdmission(tcp, conns), log: log}
 	h.Lost = func(r *http.Request) bool { return r.Context().Value(connKey{}).(*clientConn).lost() }
+	h.Doubtful = func(r *http.Request) bool { return r.Context().Value(connKey{}).(*clientConn).doubtful() }
 	f.server = &http.Server{Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
 		ConnState: f.door.track, DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
--- /dev/null
+++ b/internal/front/http1/scan.go
@@ -0,0 +1,132 @@
+package http1
+
+import (
+	"bytes"
+	"strconv"
+
+	"starlingvalve/internal/chunk"
+)
+
+// scan follows the requests in what a connection brings, in pieces of any size, and notes of each whether its head has both
+// Content-Length and Transfer-Encoding: net/http drops the length, and whoever goes by it would find another request in the body. It is
+// pure. What net/http can't read it answers and closes, so that here only the ends of good requests matter. A request that hides behind
+// a doubtful one is never served: the doubtful one closes the connection.
+type scan struct {
+	state   scanState
+	line    []byte // the beginning of the present one: as much of it as tells the two fields, and a length
+	head    int    // bytes of it so far
+	length  int64
+	hasSize bool
+	coded   bool
+	chunks  chunk.Decoder
+
+	doubts []bool // of requests whose heads are complete and which nobody has asked about yet
+}
+
+type scanState int
+
+const (
+	scanHead scanState = iota
+	scanBody
+	scanChunks
+	scanLost // no end can be known: net/http will find out
+)
+
+const (
+	lineKept   = 64   // bytes of a line that are looked at: names with their blanks, and a length
+	doubtsMost = 4096 // requests ahead of their handler; net/http's buffer of 4 KB holds some 200
+)
+
+// feed takes what has come. Empty lines ahead of a request are taken out of p, as RFC 9112, section 2.2, has it: what is left
+// of it has the length that feed gives.
+func (s *scan) feed(p []byte) int {
+	kept := len(p)
+	for at := 0; at < kept; {
+		switch s.state {
+		case scanHead:
+			c := p[at]
+			if s.head == 0 && (c == '\r' || c == '\n') {
+				copy(p[at:], p[at+1:kept])
+				kept--
+				continue
+			}
+			at++
+			s.head++
+			if c != '\n' {
+				if len(s.line) < lineKept {
+					s.line = append(s.line, c)
+				}
+				continue
+			}
+			s.endLine()
+		case scanBody:
+			n := int(min(int64(kept-at), s.length))
+			at += n
+			if s.length -= int64(n); s.length == 0 {
+				s.next()
+			}
+		case scanChunks:
+			_, used, err := s.chunks.Next(p[at:kept])
+			at += used
+			switch {
+			case err != nil:
+				s.state = scanLost
+			case s.chunks.Done():
+				s.next()
+			}
+		case scanLost:
+			return kept
+		}
+	}
+	return kept
+}
+
+// endLine takes a line of a head.
+func (s *scan) endLine() {
+	line := bytes.TrimSuffix(s.line, []byte("\r"))
+	s.line = s.line[:0]
+	if len(line) == 0 {
+		s.endHead()
+		return
+	}
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return
+	}
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if s.hasSize = true; err != nil || n < 0 {
+			n = 0 // net/http turns it away
+		}
+		s.length = n
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		s.coded = true
+	}
+}
+
+func (s *scan) endHead() {
+	if len(s.doubts) < doubtsMost {
+		s.doubts = append(s.doubts, s.coded && s.hasSize)
+	}
+	switch {
+	case s.coded:
+		s.state, s.chunks = scanChunks, chunk.Decoder{}
+	case s.length > 0:
+		s.state = scanBody
+	default:
+		s.next()
+	}
+}
+
+func (s *scan) next() { s.state, s.head, s.length, s.hasSize, s.coded = scanHead, 0, 0, false, false }
+
+// doubtful is asked once for each request, in their order.
+func (s *scan) doubtful() bool {
+	if len(s.doubts) == 0 {
+		return true // it was seen by net/http and not here: that can't be
+	}
+	first := s.doubts[0]
+	s.doubts = s.doubts[:copy(s.doubts, s.doubts[1:])]
+	return first
+}
--- a/internal/upstream/http1/backend.go
+++ b/internal/upstream/http1/backend.go
@@ -7,6 +7,7 @@
 	queue "container/list"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -28,16 +29,15 @@
 )
 
 const (
-	bodyLimit   = 64 << 10 // bytes of an answer's body; one that says it is larger waits for room
-	headLimit   = 64 << 10 // of an answer's header, with what interim answers come before it
-	answerLimit = 1 << 20  // of an answer's body
-	largePart   = 1.0 / 8  // of the memory: bodies over bodyLimit that are being read at once
-	sweepEvery  = time.Second
-	idlePart    = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
-	probeWait   = 500 * time.Millisecond
-	restLeast   = 3 * time.Millisecond // what comes right behind an answer has come by then
-	dialPart    = 8                    // one backend's share of all connections that may be in the making
-	loadLimit   = 1e6                  // more than any figure of a load report can be
+	bodyLimit  = 64 << 10 // bytes of an answer's body that are held until it is whole
+	headLimit  = 64 << 10 // of an answer's header, with what interim answers come before it
+	roomPart   = 1.0 / 8  // of the memory: buffers of answers that are passed on as they come
+	sweepEvery = time.Second
+	idlePart   = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
+	probeWait  = 500 * time.Millisecond
+	restLeast  = 3 * time.Millisecond // what comes right behind an answer has come by then
+	dialPart   = 8                    // one backend's share of all connections that may be in the making
+	loadLimit  = 1e6                  // more than any figure of a load report can be
 )
 
 // Transport holds the connections to all Transport. Each carries one request at a time; the most recently used
@@ -51,8 +51,7 @@
 	made           time.Time        // the zero of its clock
 	idle           *queue.List      // of all hosts' idle connections, *conn, the least recently used first
 	open, limit    int              // connections, also those being made
-	large          atomic.Int64
-	largeLimit     int64
+	room           atomic.Int64     // bytes that are free for the buffers of long answers
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	log            *slog.Logger
@@ -75,10 +74,13 @@
 	host  *host
 	place *queue.Element // among all idle connections, while it is idle
 	r     *bufio.Reader
-	left  int64     // what may still come on one answer
-	short bool      // the last read had room for more than there was
-	since time.Time // made, or idle since
-	used  bool      // it has carried an exchange
+	left  int64           // what may still come on one answer
+	short bool            // the last read had room for more than there was
+	pause time.Duration   // a read that brings nothing for so long gives errPause, and can be tried again; 0: none does
+	since time.Time       // made, or idle since
+	used  bool            // it has carried an exchange
+	until time.Time       // the exchange's deadline
+	ctx   context.Context // the exchange's
 }
 
 // Read is what r reads by: no more than may still come.
@@ -87,19 +89,42 @@
 		return 0, io.EOF
 	}
 	p = p[:min(int64(len(p)), c.left)]
-	n, err := c.Conn.Read(p)
+	n, err := c.readPaused(p)
 	c.left -= int64(n)
 	c.short = n < len(p)
 	return n, err
 }
 
+var errPause = errors.New("nothing comes for the moment")
+
+func (c *conn) readPaused(p []byte) (int, error) {
+	if c.pause == 0 {
+		return c.Conn.Read(p)
+	}
+	until := time.Now().Add(c.pause)
+	if !until.Before(c.until) {
+		return c.Conn.Read(p)
+	}
+	c.Conn.SetReadDeadline(until)
+	n, err := c.Conn.Read(p)
+	c.Conn.SetReadDeadline(c.until)
+	if c.ctx != nil && c.ctx.Err() != nil {
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	} else if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errPause
+	}
+	return n, err
+}
+
 func New(s decide.Settings, memoryMB, limit int, log *slog.Logger) *Transport {
 	idle := time.Duration(float64(s.ConnIdle) * idlePart)
 	if idle <= 0 {
 		idle = time.Minute
 	}
-	return &Transport{hosts: map[decide.ServerID]*host{}, byAddr: map[string]*host{}, made: time.Now(), idle: queue.New(), limit: limit, log: log, largeLimit: int64(largePart * float64(memoryMB<<20)),
+	b := &Transport{hosts: map[decide.ServerID]*host{}, byAddr: map[string]*host{}, made: time.Now(), idle: queue.New(), limit: limit, log: log,
 		connectTimeout: s.ConnectTimeout, idleLimit: idle}
+	b.room.Store(int64(roomPart * float64(memoryMB<<20)))
+	return b
 }
 
 // update follows the list. Connections of an address or a process that is no more are closed: a request on one
@@ -395,30 +420,44 @@
 	again, age := c.used, time.Since(c.since)
 	c.used = true
 	c.SetDeadline(x.Deadline)
+	c.until, c.ctx = x.Deadline, ctx
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	r, keep := b.roundTrip(c, x)
-	stopped := stop()
-	switch {
-	case r.Err == nil:
-		b.mu.Lock()
-		h.heard = time.Now()
-		if again {
-			b.learned.Used(time.Since(b.made), age, false)
+	r, a := b.roundTrip(ctx, c, x)
+	// end is called once all of the answer is in, or none more is wanted.
+	end := func(r *core.Result, keep bool) {
+		stopped := stop()
+		switch {
+		case r.Err == nil:
+			b.mu.Lock()
+			h.heard = time.Now()
+			if again {
+				b.learned.Used(time.Since(b.made), age, false)
+			}
+			b.mu.Unlock()
+		case r.Code == decide.ConnectFailed || r.Code == decide.Moot:
+		case ctx.Err() != nil:
+			r.Code = decide.Cancelled
+		case errors.Is(r.Err, os.ErrDeadlineExceeded):
+			r.Code = decide.TimedOut
+		case again && brokenOff(r.Err):
+			b.mu.Lock()
+			b.learned.Used(time.Since(b.made), age, true)
+			b.mu.Unlock()
 		}
-		b.mu.Unlock()
-	case r.Code == decide.ConnectFailed:
-	case ctx.Err() != nil:
-		r.Code = decide.Cancelled
-	case errors.Is(r.Err, os.ErrDeadlineExceeded):
-		r.Code = decide.TimedOut
-	case again && brokenOff(r.Err):
-		b.mu.Lock()
-		b.learned.Used(time.Since(b.made), age, true)
-		b.mu.Unlock()
+		b.release(h, c, keep && stopped && r.Err == nil)
+		if r.Code == decide.TimedOut {
+			b.silent(h, began)
+		}
+	}
+	if r.Rest == nil {
+		end(&r, a != nil && a.keep)
+		return r
 	}
-	b.release(h, c, keep && stopped && r.Err == nil)
-	if r.Code == decide.TimedOut {
-		b.silent(h, began)
+	a.ctx, a.room = ctx, &b.room
+	a.end = func(err error, keep bool) decide.OutcomeCode {
+		done := core.Result{Code: codeOf(ctx, err), Err: err}
+		end(&done, keep)
+		return done.Code
 	}
 	return r
 }
@@ -430,21 +469,25 @@
 
 const httpStart = "HTTP/1."
 
-var (
-	errTruncated = errors.New("the answer's end can't be known")
-	errTooLarge  = errors.New("the answer is too large")
-)
-
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
-func (b *Transport) roundTrip(c *conn, x *core.Exchange) (r core.Result, keep bool) {
+// roundTrip writes a request and reads its answer, or so much of it that it can go on: then the result has a Rest. What it gives
+// besides is the answer's body; nil: there is none.
+func (b *Transport) roundTrip(ctx context.Context, c *conn, x *core.Exchange) (core.Result, *answer) {
+	if x.Upload != nil && x.Upload.Spent {
+		return core.Result{Code: decide.Moot, Err: errors.New("a part of the client's body is gone")}, nil
+	}
 	text := buffers.Get().(*bytes.Buffer)
 	defer buffers.Put(text)
 	text.Reset()
 	x.WriteHTTP(text)
 	if _, err := c.Write(text.Bytes()); err != nil {
-		return core.Result{Code: decide.ConnectFailed, Err: err}, false // its last byte was not written
+		return core.Result{Code: decide.ConnectFailed, Err: err}, nil // its last byte was not written
+	}
+	if x.Upload != nil {
+		if r := b.upload(ctx, c, x); r.Err != nil {
+			return r, nil
+		}
 	}
 	if x.Written != nil {
 		x.Written()
@@ -459,47 +502,86 @@
 		err = errors.New("the backend speaks another protocol")
 	}
 	if err != nil {
-		return core.Result{Code: decide.Reset, Err: err}, false
+		return core.Result{Code: decide.Reset, Err: err}, nil
 	}
-	defer resp.Body.Close()
-	if n := resp.ContentLength; n > bodyLimit {
-		defer b.large.Add(-n)
-		if held := b.large.Add(n); n > answerLimit || held > b.largeLimit {
-			return core.Result{Code: decide.Reset, Err: errTooLarge}, false
-		}
+	a, err := newAnswer(c, resp)
+	if err != nil {
+		return core.Result{Code: decide.Reset, Err: err}, nil
 	}
-	c.left += answerLimit + headLimit // and chunks' framing
-	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
-	switch {
-	case err != nil:
-		return core.Result{Code: decide.Reset, Err: err}, false
-	case len(body) > answerLimit:
-		return core.Result{Code: decide.Reset, Err: errTooLarge}, false
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		// A body that ends with its connection looks whole when the backend has died within it.
-		return core.Result{Code: decide.Reset, Err: errTruncated}, false
-	}
-	// A read that found less than it had room for has taken all that had come: to look again at once would tell nothing
-	// new, and costs a system call. Before it is used again the connection is looked at in any case.
-	more, open := "", true
-	if !c.short || c.r.Buffered() > 0 {
-		more, open = c.behind()
-	}
-	if more != "" && !strings.HasPrefix(httpStart, more) {
-		// Another answer behind this one leaves this one good. Anything else may be its own end, and its length wrong.
-		return core.Result{Code: decide.Reset, Err: errors.New("the answer is longer than its length")}, false
-	}
-	keep = open && more == "" && !resp.Close
-	r = core.Result{Code: decide.ServerError, Report: parseReport(resp.Header.Get("X-Backend-Load")), Header: resp.Header, Body: body}
+	body, rest, err := a.begin()
+	if err == nil && rest && resp.StatusCode != http.StatusOK {
+		err = errTooLarge // of no use to anybody
+	}
+	if err != nil {
+		return core.Result{Code: decide.Reset, Err: err}, nil
+	}
+	r := core.Result{Code: decide.ServerError, Report: parseReport(resp.Header.Get("X-Backend-Load")), Header: resp.Header, Body: body}
 	switch status := resp.StatusCode; {
 	case status == http.StatusOK:
 		r.Code = decide.OK
+		if rest {
+			r.Rest, r.Length = a, resp.ContentLength
+		}
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && resp.Header.Get("X-Unprocessed") == "1":
 		r.Code = decide.Full
 	case status >= 400 && status < 500:
 		r.Code, r.Client = decide.Cancelled, status
 	}
-	return r, keep
+	return r, a
+}
+
+// upload writes what of a body is still coming. Until its last byte is written the request has not run, whatever happens: but what has been
+// read of it can't be written again.
+func (b *Transport) upload(ctx context.Context, c *conn, x *core.Exchange) core.Result {
+	u := x.Upload
+	piece := make([]byte, pieceSize)
+	left := u.Length - int64(len(x.Body))
+	for ended := u.Length >= 0 && left == 0; !ended; {
+		n, err := u.Read(piece[chunkHead : pieceSize-chunkTail])
+		u.Spent = u.Spent || n > 0
+		left -= int64(n)
+		ended = errors.Is(err, io.EOF) || u.Length >= 0 && left <= 0
+		if err != nil && !ended || left < 0 && u.Length >= 0 || ended && u.Length >= 0 && left > 0 {
+			return core.Result{Code: decide.Moot, Client: u.Fault(), Err: fmt.Errorf("the client's body: %w", err)} // no server's fault
+		}
+		out := piece[chunkHead : chunkHead+n]
+		if u.Length < 0 {
+			out = chunked(piece, n, ended)
+		}
+		c.SetDeadline(time.Now().Add(stallWait))
+		if ctx.Err() != nil { // which sets a deadline too
+			return core.Result{Code: decide.Moot, Err: ctx.Err()}
+		}
+		if _, err := c.Write(out); err != nil {
+			return core.Result{Code: decide.ConnectFailed, Err: err}
+		}
+	}
+	x.Deadline = time.Now().Add(u.Patience)
+	c.until = x.Deadline
+	c.SetDeadline(x.Deadline)
+	if ctx.Err() != nil {
+		c.SetDeadline(time.Unix(1, 0))
+	}
+	return core.Result{}
+}
+
+const (
+	chunkHead = 6 // bytes before a chunk's data: four digits, CR LF
+	chunkTail = 7 // and behind it: CR LF, and of the last one what ends the body
+)
+
+// chunked puts n bytes, which stand at chunkHead, into the form of a chunk, and the body's end behind them.
+func chunked(piece []byte, n int, ended bool) []byte {
+	from, to := chunkHead, chunkHead+n
+	if n > 0 {
+		from = 0
+		copy(piece, fmt.Sprintf("%04x\r\n", n))
+		to += copy(piece[to:], "\r\n")
+	}
+	if ended {
+		to += copy(piece[to:], "0\r\n\r\n")
+	}
+	return piece[from:to]
 }
 
 // parseReport reads a load report. One that does not make sense in all its parts, or has no known field, is none.
