The process that takes over begins with what the old one's module had learned

Ruled out: requests lost at the door (0) and the start's time (0.0 s). Real processes under load: 20 replacements, nothing refused, reset, lost or run twice; killed, hanging and hostile predecessors (cmd/starlingvalve/replace_test.go).

--- /dev/null
+++ b/cmd/starlingvalve/replace_test.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"os/exec"
+
+	"golang.org/x/sys/unix"
+
+	"starlingvalve/internal/standin"
+)
+
+// reserved is a port of 127.0.0.1 that the kernel chose, kept for processes of this user that share it: nobody listens there yet.
+func reserved(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	a, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", a.(*unix.SockaddrInet4).Port)
+}
+
+// replaceable is a node whose processes follow one another.
+type replaceable struct {
+	t              *testing.T
+	config, dir    string
+	listen, second string
+	server         *standin.Server
+}
+
+func newReplaceable(t *testing.T) *replaceable {
+	t.Helper()
+	server, err := standin.NewServer(standin.ServerOptions{Name: "s"}, map[string]standin.Work{"c": {Time: 5 * time.Millisecond, Bytes: 100}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	discovery, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { discovery.Close() })
+	n := &replaceable{t: t, listen: reserved(t), server: server, dir: t.TempDir()}
+	n.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":384},
+		"known":{"version":1,"full":true,"servers":[{"id":"s-00000001","addr":%q,"zone":"z","state":"ready","weight":1}]},"settings":{
+		"caps":{"connect_timeout_ns":2000000000,"cancel":true,"max_attempts":2},"classes":[{"name":"c","effect":"fragile","deadline_ns":3000000000,"aim_ns":2500000000}]}}`,
+		n.listen, discovery.Addr(), server.Addr)
+	return n
+}
+
+// start starts a process and waits until it can serve. It ends within two minutes.
+func (n *replaceable) start() *exec.Cmd {
+	n.t.Helper()
+	cmd, _ := program(n.t, n.config)
+	cmd.Stderr = nil
+	cmd.Env = append(cmd.Env, "TMPDIR="+n.dir, "GW_OPS=127.0.0.1:0")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		n.t.Fatal(err)
+	}
+	guard := time.AfterFunc(2*time.Minute, func() { cmd.Process.Kill() })
+	lines := bufio.NewScanner(log)
+	for n.second = ""; n.second == "" && lines.Scan(); {
+		_, n.second, _ = strings.Cut(lines.Text(), "ops=")
+	}
+	go io.Copy(io.Discard, log) // until the process has ended
+	n.t.Cleanup(func() { guard.Stop(); cmd.Process.Kill(); cmd.Wait() })
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if resp, err := http.Get("http://" + n.second + "/healthcheck"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return cmd
+			}
+		}
+	}
+	n.t.Fatal("not able to serve")
+	return nil
+}
+
+// load asks on kept and on fresh connections until ctx ends, and tells what was served and what went wrong.
+func (n *replaceable) load(ctx context.Context) (served *atomic.Int64, wrong chan string, wait func()) {
+	served, wrong = new(atomic.Int64), make(chan string, 1000)
+	var asking sync.WaitGroup
+	for i := range 12 {
+		asking.Go(func() {
+			var c net.Conn
+			var r *bufio.Reader
+			for k := 0; ctx.Err() == nil; k++ {
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", n.listen); err != nil {
+						wrong <- "refused: " + err.Error()
+						continue
+					}
+					c.SetDeadline(time.Now().Add(20 * time.Second))
+					r = bufio.NewReader(c)
+				}
+				fmt.Fprintf(c, "POST /c HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: %d.%d\r\nX-Time-Left: 3\r\nContent-Length: 0\r\n\r\n", i, k)
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					wrong <- fmt.Sprintf("%d.%d: %v", i, k, err)
+					c.Close()
+					c = nil
+					continue
+				}
+				io.Copy(io.Discard, resp.Body)
+				switch resp.StatusCode {
+				case 200:
+					served.Add(1)
+				case 503: // the module knows little of a server that it has just met
+				default:
+					wrong <- fmt.Sprintf("%d.%d: status %d", i, k, resp.StatusCode)
+				}
+				if resp.Close || i%2 == 0 {
+					c.Close()
+					c = nil
+				}
+			}
+			if c != nil {
+				c.Close()
+			}
+		})
+	}
+	return served, wrong, asking.Wait
+}
+
+func (n *replaceable) check(wrong chan string) {
+	n.t.Helper()
+	close(wrong)
+	for w := range wrong {
+		n.t.Error(w)
+	}
+	ran := map[string]int{}
+	for _, e := range n.server.Log() {
+		if e.Ran {
+			ran[e.ID]++
+		}
+	}
+	for id, times := range ran {
+		if times > 1 {
+			n.t.Errorf("%s ran %d times", id, times)
+		}
+	}
+}
+
+// Under load a process is replaced again and again: no connection is refused or reset, no request is lost or runs twice, and each old process
+// ends by itself, with 0.
+func TestReplacedUnderLoad(t *testing.T) {
+	n := newReplaceable(t)
+	old := n.start()
+	ctx, stop := context.WithCancel(t.Context())
+	served, wrong, wait := n.load(ctx)
+	for range 20 {
+		before := served.Load()
+		next := n.start()
+		old.Process.Signal(syscall.SIGTERM)
+		if err := old.Wait(); err != nil {
+			t.Error("the old process:", err)
+		}
+		for end := time.Now().Add(20 * time.Second); served.Load() == before && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if served.Load() == before {
+			t.Error("nothing was served")
+		}
+		old = next
+	}
+	stop()
+	wait()
+	n.check(wrong)
+	if left, _ := filepath.Glob(filepath.Join(n.dir, "*.sock*")); len(left) != 1 {
+		t.Errorf("socket files: %v", left)
+	}
+	old.Process.Signal(syscall.SIGTERM)
+	if err := old.Wait(); err != nil {
+		t.Error(err)
+	}
+	if left, _ := filepath.Glob(filepath.Join(n.dir, "*")); len(left) != 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
+
+// A newcomer that dies gives the node back; a predecessor that is killed, or hangs, holds up nobody; nor does a socket file that is stale or
+// whose owner talks nonsense.
+func TestReplacementGoesWrong(t *testing.T) {
+	n := newReplaceable(t)
+	ask := func(when string) {
+		t.Helper()
+		c := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		req, _ := http.NewRequest(http.MethodPost, "http://"+n.listen+"/c", nil)
+		req.Header.Set("X-Correlation-Id", strings.ReplaceAll(when, " ", "-"))
+		req.Header.Set("X-Time-Left", "3")
+		resp, err := c.Do(req)
+		if err != nil {
+			t.Fatalf("%s: %v", when, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Errorf("%s: status %d", when, resp.StatusCode)
+		}
+	}
+	old := n.start()
+	dead := n.start()
+	dead.Process.Kill()
+	dead.Wait()
+	ask("the newcomer was killed")
+	next := n.start()
+	old.Process.Kill()
+	old.Wait()
+	ask("the old one was killed")
+	next.Process.Kill() // its file stays, and nobody is there
+	next.Wait()
+	next = n.start()
+	ask("a stale file")
+	next.Process.Signal(syscall.SIGSTOP) // its kernel still accepts at the socket
+	beside := n.start()
+	next.Process.Kill()
+	next.Wait()
+	ask("the old one hung")
+	beside.Process.Kill()
+	beside.Wait()
+
+	files, _ := filepath.Glob(filepath.Join(n.dir, "*.sock"))
+	if len(files) != 1 {
+		t.Fatalf("socket files: %v", files)
+	}
+	os.Remove(files[0])
+	hostile, err := net.Listen("unix", files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hostile.Close()
+	go func() {
+		for i := 0; ; i++ {
+			c, err := hostile.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(c, []string{"\xff\xff\xff\xff{}", "\x00\x00\x00\x02{}", "\x00\x00\x00\x40{\"version\":1,\"state\":"}[i%3])
+		}
+	}()
+	n.start()
+	ask("a hostile file")
+}
--- /dev/null
+++ b/decide/snapshot.go
@@ -0,0 +1,143 @@
+package decide
+
+// What a module has learned, as plain data for the process that takes over its node. A module that begins with nothing calls every
+// server normal and the fleet slow, and refuses for seconds what the servers could do.
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// SnapshotVersion is that of the form below. Another is not taken.
+const SnapshotVersion = 1
+
+// Snapshot is what a module has learned. Times are ages: how long before the snapshot something was, or with a minus sign how
+// long after it.
+type Snapshot struct {
+	Version                                int
+	Answers, Mean, Recent, Least, Peak     float64 // as the module's fields of these names: s, answers each second
+	FleetRate, EvenRate, Arrivals, Share   float64
+	N1, N2, Worth, Slots, Size             float64
+	Learned                                bool
+	Started, Arrived, FirstAnswer, Answerd time.Duration
+	Classes                                []ClassSnapshot
+	Servers                                []ServerSnapshot
+}
+
+// ClassSnapshot is what is known of a class.
+type ClassSnapshot struct {
+	Name                                    string
+	Count, Latency, Ambient, Base, Relative float64
+	At                                      time.Duration
+}
+
+// ServerSnapshot is what is known of a server.
+type ServerSnapshot struct {
+	ID                               ServerID
+	StartedAt                        Time // the process that this is known of
+	Excess, Rate, Last, Room, Slots  float64
+	Since, LatencyAt, RateAt, RoomAt time.Duration
+	Strikes                          int
+	Suspect, Broken, Cold            bool
+	TrialWait, TrialAt, ColdSince    time.Duration
+	Imposed                          Mode
+	ImposedUntil, FullAt, Backoff    time.Duration
+}
+
+// Snapshot tells what the module has learned. It changes nothing.
+func (m *Module) Snapshot(now Time) Snapshot {
+	age := func(t Time) time.Duration { return now - t }
+	s := Snapshot{Version: SnapshotVersion, Answers: m.answers, Mean: m.mean, Recent: m.recent, Least: m.least, Peak: m.peak, FleetRate: m.fleetRate,
+		EvenRate: m.evenRate, Arrivals: m.arrivals, Share: m.share, N1: m.n1, N2: m.n2, Worth: m.worth, Slots: m.slots, Size: m.size, Learned: m.learned,
+		Started: age(m.startAt), Arrived: age(m.arrivedAt), FirstAnswer: age(m.firstAt), Answerd: age(m.answeredAt)}
+	for _, c := range m.order {
+		s.Classes = append(s.Classes, ClassSnapshot{Name: c.Name, Count: c.count, Latency: c.latency, Ambient: c.ambient, Base: c.base, Relative: c.relative, At: age(c.at)})
+	}
+	for _, v := range m.ring {
+		s.Servers = append(s.Servers, ServerSnapshot{ID: v.ID, StartedAt: v.StartedAt, Excess: v.excess, Rate: v.rate, Last: v.last, Room: v.room, Slots: v.slots,
+			Since: age(v.since), LatencyAt: age(v.latencyAt), RateAt: age(v.rateAt), RoomAt: age(v.roomAt), Strikes: v.strikes, Suspect: v.suspect,
+			Broken: v.broken, Cold: v.cold, TrialWait: v.trialWait, TrialAt: age(v.trialAt), ColdSince: age(v.coldSince), Imposed: v.imposed,
+			ImposedUntil: age(v.imposedUntil), FullAt: age(v.fullAt), Backoff: v.backoff})
+	}
+	return s
+}
+
+// check says what does not make sense.
+func (s *Snapshot) check() error {
+	if s.Version != SnapshotVersion {
+		return fmt.Errorf("snapshot: version %d, want %d", s.Version, SnapshotVersion)
+	}
+	amounts := []float64{s.Answers, s.Mean, s.Recent, s.Least, s.Peak, s.FleetRate, s.EvenRate, s.Arrivals, s.Share, s.N1, s.N2, s.Worth, s.Slots, s.Size}
+	waits := []time.Duration{}
+	for _, c := range s.Classes {
+		amounts = append(amounts, c.Count, c.Latency, c.Ambient, c.Base, c.Relative)
+		if c.Relative == 0 || c.Count > 0 && c.Ambient == 0 {
+			return fmt.Errorf("snapshot: class %q: costs nothing", c.Name)
+		}
+	}
+	for _, v := range s.Servers {
+		amounts = append(amounts, v.Rate, v.Last, v.Room, v.Slots, math.Abs(v.Excess))
+		waits = append(waits, v.TrialWait, v.Backoff, v.TrialAt+trialLast*2, v.ImposedUntil+trialLast*2)
+		if v.Imposed < Normal || v.Imposed > Blocking || v.Strikes < 0 {
+			return fmt.Errorf("snapshot: server %d: mode %d, %d strikes", v.ID, v.Imposed, v.Strikes)
+		}
+	}
+	for _, a := range amounts {
+		if !(a >= 0 && a <= 1e12) { // not a number either
+			return fmt.Errorf("snapshot: the amount %v", a)
+		}
+	}
+	for _, w := range waits {
+		if w < 0 {
+			return fmt.Errorf("snapshot: the wait %v", w)
+		}
+	}
+	if s.Learned && (s.Mean <= 0 || s.FleetRate <= 0) {
+		return fmt.Errorf("snapshot: learned with a mean of %v and a rate of %v", s.Mean, s.FleetRate)
+	}
+	return nil
+}
+
+// Restore takes over what another process of this node had learned. It is called once, after the module's first list, before any request. A
+// snapshot that does not make sense in all its parts changes nothing. Of servers that are not listed, or have started anew, nothing is taken.
+func (m *Module) Restore(now Time, s Snapshot) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	at := func(age time.Duration) Time { return now - age }
+	m.now = now
+	m.answers, m.mean, m.recent, m.least, m.peak, m.fleetRate, m.evenRate = s.Answers, s.Mean, s.Recent, s.Least, s.Peak, s.FleetRate, s.EvenRate
+	m.arrivals, m.share, m.n1, m.n2, m.worth, m.slots, m.learned = s.Arrivals, s.Share, s.N1, s.N2, s.Worth, s.Slots, s.Learned
+	m.startAt, m.arrivedAt, m.firstAt, m.answeredAt = at(s.Started), at(s.Arrived), at(s.FirstAnswer), at(s.Answerd)
+	m.size = math.Max(s.Size, subsetLeast)
+	for _, k := range s.Classes {
+		c := m.classes[k.Name]
+		if k.Name == "" {
+			c = m.other
+		}
+		if c != nil {
+			c.count, c.latency, c.ambient, c.base, c.relative, c.at = k.Count, k.Latency, k.Ambient, k.Base, k.Relative, at(k.At)
+		}
+	}
+	for _, k := range s.Servers {
+		v := m.known[k.ID]
+		if v == nil || !v.ringed || v.StartedAt != k.StartedAt {
+			continue
+		}
+		v.excess, v.rate, v.last, v.room, v.slots, v.strikes = k.Excess, k.Rate, k.Last, k.Room, k.Slots, k.Strikes
+		v.since, v.latencyAt, v.rateAt, v.roomAt = at(k.Since), at(k.LatencyAt), at(k.RateAt), at(k.RoomAt)
+		v.suspect, v.broken, v.trialWait, v.trialAt = k.Suspect, k.Broken, k.TrialWait, at(k.TrialAt)
+		v.imposed, v.imposedUntil, v.fullAt, v.backoff = k.Imposed, at(k.ImposedUntil), at(k.FullAt), k.Backoff
+		if v.cold, v.coldSince = k.Cold, at(k.ColdSince); v.cold {
+			v.tokens, v.tokensAt = 0, now // the other process may have spent them
+		}
+	}
+	m.stale = true
+	m.choose()
+	for _, v := range m.near {
+		m.place(v)
+	}
+	m.survey(false)
+	return nil
+}
--- /dev/null
+++ b/decide/snapshot_test.go
@@ -0,0 +1,110 @@
+package decide
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// trained is a module with four servers that has answered for ten seconds, 100 ms each; the last one is a suspect.
+func trained(t *testing.T) (*Module, Time) {
+	t.Helper()
+	m := New(snapshotSettings(), 1)
+	now := Time(time.Hour)
+	m.Handle(now, snapshotList())
+	for i := range 2000 {
+		now += 5 * time.Millisecond
+		if i%5 == 0 {
+			m.Handle(now, TimerFired{})
+		}
+		id := RequestID(fmt.Sprint(i))
+		for _, a := range m.Handle(now, RequestArrived{ID: id, Class: "read", Patience: time.Second}) {
+			if s, ok := a.(Send); ok {
+				code := OK
+				if s.Server == 4 {
+					code = Reset
+				}
+				m.Handle(now, AttemptEnded{ID: id, Server: s.Server, Over: code == OK, Elapsed: 100 * time.Millisecond, Code: code})
+			}
+		}
+	}
+	m.accuse(m.known[4], "three failures")
+	return m, now
+}
+
+func snapshotSettings() Settings {
+	return Settings{Nodes: 1, MaxAttempts: 1, MayCancel: true, ConnectTimeout: time.Second, ColdFrom: 0.3, ColdTime: 5 * time.Second,
+		Classes: []Class{{Name: "read", Worth: 1, Aim: 600 * time.Millisecond, Deadline: time.Second, Effect: Safe}}}
+}
+
+func snapshotList() ListUpdate {
+	l := ListUpdate{Kind: ListFull, Version: 1}
+	for id := range ServerID(4) {
+		l.Entries = append(l.Entries, Server{ID: id + 1, Zone: "z", State: Ready, Size: 1})
+	}
+	return l
+}
+
+// The successor's thresholds, latencies and suspicions are the predecessor's; of a server that started anew nothing is taken.
+func TestSnapshot(t *testing.T) {
+	old, now := trained(t)
+	raw, err := json.Marshal(old.Snapshot(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Snapshot
+	if err := json.Unmarshal(raw, &s); err != nil {
+		t.Fatal(err)
+	}
+	m := New(snapshotSettings(), 2)
+	fresh := New(snapshotSettings(), 2)
+	later := now + 50*time.Millisecond
+	list := snapshotList()
+	list.Entries[0].StartedAt = later
+	m.Handle(later, list)
+	fresh.Handle(later, snapshotList())
+	if err := m.Restore(later, s); err != nil {
+		t.Fatal(err)
+	}
+	old.now = later
+	for id := ServerID(2); id <= 4; id++ {
+		a, b := old.known[id], m.known[id]
+		if want, got := old.high(a), m.high(b); math.Abs(got-want) > 0.05*want || got <= fresh.high(fresh.known[id]) {
+			t.Errorf("server %d: H %v, was %v, %v with nothing known", id, got, want, fresh.high(fresh.known[id]))
+		}
+		if a.suspect != b.suspect || math.Abs(old.latencyOf(a)-m.latencyOf(b)) > 0.01 {
+			t.Errorf("server %d: suspect %v, latency %v; was %v, %v", id, b.suspect, m.latencyOf(b), a.suspect, old.latencyOf(a))
+		}
+	}
+	if !m.known[4].suspect {
+		t.Error("the failing server is no suspect")
+	}
+	if v := m.known[1]; v.rate != 0 || !v.cold {
+		t.Errorf("the server that started anew: rate %v, cold %v", v.rate, v.cold)
+	}
+}
+
+// What does not make sense in any of its parts is not taken, and changes nothing.
+func TestBadSnapshot(t *testing.T) {
+	old, now := trained(t)
+	for name, spoil := range map[string]func(*Snapshot){
+		"another version":  func(s *Snapshot) { s.Version++ },
+		"no number":        func(s *Snapshot) { s.Mean = math.NaN() },
+		"infinite":         func(s *Snapshot) { s.Servers[1].Rate = math.Inf(1) },
+		"negative":         func(s *Snapshot) { s.Servers[1].Room = -1 },
+		"no such mode":     func(s *Snapshot) { s.Servers[1].Imposed = 7 },
+		"blocked for ever": func(s *Snapshot) { s.Servers[1].ImposedUntil = -time.Hour },
+		"costs nothing":    func(s *Snapshot) { s.Classes[0].Relative = 0 },
+		"nothing learned":  func(s *Snapshot) { s.FleetRate = 0 },
+	} {
+		s := old.Snapshot(now)
+		spoil(&s)
+		m := New(snapshotSettings(), 2)
+		m.Handle(now, snapshotList())
+		if err := m.Restore(now, s); err == nil || m.learned || m.answers != 0 || m.known[2].rate != 0 {
+			t.Errorf("%s: %v, taken: %v", name, err, m.learned)
+		}
+	}
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -48,12 +48,13 @@
 
 func serve(ctx context.Context, c *Config, s *sockets, reload <-chan os.Signal, log *slog.Logger) error {
 	tcp := s.clients
+	var learned *decide.Snapshot
 	if s.from != nil {
 		defer s.from.Close()
 		if k, err := takeState(s.from.State); err != nil {
 			log.Warn("what the predecessor knew is not taken", "err", err)
 		} else {
-			c.Known = k.List
+			c.Known, learned = k.List, k.Learned
 		}
 	}
 	var second *net.TCPListener
@@ -99,7 +100,7 @@
 	settings.TellShort = g != nil
 	figures := stats.New(classNames(settings))
 	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, settings.Nodes, log),
-		Messenger: messenger, Figures: figures, Log: log})
+		Messenger: messenger, Figures: figures, Learned: learned, Log: log})
 	if err != nil {
 		tcp.Close()
 		return err
@@ -163,7 +164,11 @@
 			running.Go(func() { keeper.Run(inner) })
 		}
 	}
-	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
+	about := []any{"name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets}
+	if second != nil {
+		about = append(about, "ops", second.Addr())
+	}
+	log.Info("serving", about...)
 
 	select {
 	case err = <-served:
--- a/internal/app/takeover.go
+++ b/internal/app/takeover.go
@@ -61,7 +61,8 @@
 
 // known is what a process hands its successor.
 type known struct {
-	List core.List
+	List    core.List
+	Learned *decide.Snapshot
 }
 
 // takeState takes over what the predecessor knew, if all of it makes sense.
@@ -84,7 +85,11 @@
 
 // state is what this process knows, for its successor.
 func (t *takeover) state() []byte {
-	raw, err := json.Marshal(known{List: t.loop.Listed()})
+	k := known{List: t.loop.Listed()}
+	if learned, ok := t.loop.Learned(); ok {
+		k.Learned = &learned
+	}
+	raw, err := json.Marshal(k)
 	if err != nil {
 		t.log.Warn("what this process knows can't be handed over", "err", err)
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -42,6 +42,7 @@
 	messenger Messenger
 	remote    Remote // nil: nothing crosses
 	figures   *stats.Figures
+	learned   *decide.Snapshot // of the process before this one; nil: none
 	log       *slog.Logger
 	lag       *lagMeter // nil: not measured
 
@@ -73,8 +74,9 @@
 	Transport Transport
 	Members   Membership
 	Messenger Messenger
-	Remote    Remote         // nil: what this hall refuses is refused
-	Figures   *stats.Figures // nil: nothing is counted
+	Remote    Remote           // nil: what this hall refuses is refused
+	Figures   *stats.Figures   // nil: nothing is counted
+	Learned   *decide.Snapshot // what the module begins with; nil: nothing
 	Log       *slog.Logger
 }
 
@@ -95,7 +97,7 @@
 	return &Loop{classes: classes, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
 		messenger: o.Messenger, remote: o.Remote, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
 		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{},
-		figures: o.Figures, listed: map[decide.ServerID]Entry{}}, nil
+		figures: o.Figures, learned: o.Learned, listed: map[decide.ServerID]Entry{}}, nil
 }
 
 // Headroom is the number of requests more that the servers would take while all stay calm: see decide.Module.Headroom.
@@ -118,6 +120,12 @@
 	return list
 }
 
+// Learned is what the module has learned, for the process that takes over. ok is false once the loop has ended.
+func (l *Loop) Learned() (s decide.Snapshot, ok bool) {
+	ok = l.post(func() { s = l.module.Snapshot(l.now()) })
+	return s, ok
+}
+
 // Able tells whether some server is ready.
 func (l *Loop) Able() bool { return l.able.Load() }
 
@@ -153,6 +161,11 @@
 	l.mu.Lock()
 	known.Full = true
 	l.follow(known, decide.ListCached)
+	if l.learned != nil {
+		if err := l.module.Restore(l.now(), *l.learned); err != nil {
+			l.log.Warn("what the predecessor had learned is not taken", "err", err)
+		}
+	}
 	if !l.settings.AskForList {
 		l.listen()
 	}
