--- a/internal/front/http1/scan.go
+++ b/internal/front/http1/scan.go
@@ -17,6 +17,8 @@
 	head    int    // bytes of it so far
 	length  int64
 	hasSize bool
+	sized   bool // the last line was a length
+	unsure  bool // a length that goes on in the next line, or is too far off to be read here
 	coded   bool
 	chunks  chunk.Decoder
 
@@ -83,12 +85,18 @@
 
 // endLine takes a line of a head.
 func (s *scan) endLine() {
+	cut := len(s.line) == lineKept
 	line := bytes.TrimSuffix(s.line, []byte("\r"))
 	s.line = s.line[:0]
 	if len(line) == 0 {
 		s.endHead()
 		return
 	}
+	if line[0] == ' ' || line[0] == '\t' { // it goes on with the line before, as net/http has it
+		s.unsure = s.unsure || s.sized
+		return
+	}
+	s.sized = false
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok {
 		return
@@ -96,6 +104,7 @@
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		s.sized, s.unsure = true, s.unsure || cut
 		if s.hasSize = true; err != nil || n < 0 {
 			n = 0 // net/http turns it away
 		}
@@ -107,7 +116,7 @@
 
 func (s *scan) endHead() {
 	if len(s.doubts) < doubtsMost {
-		s.doubts = append(s.doubts, s.coded && s.hasSize)
+		s.doubts = append(s.doubts, s.coded && s.hasSize || s.unsure)
 	}
 	switch {
 	case s.coded:
@@ -119,7 +128,10 @@
 	}
 }
 
-func (s *scan) next() { s.state, s.head, s.length, s.hasSize, s.coded = scanHead, 0, 0, false, false }
+func (s *scan) next() {
+	s.state, s.head, s.length = scanHead, 0, 0
+	s.hasSize, s.coded, s.sized, s.unsure = false, false, false, false
+}
 
 // doubtful is asked once for each request, in their order.
 func (s *scan) doubtful() bool {
