A newcomer whose predecessor hands over no socket for datagrams opens its own, shared

Cause, seen on reading the change: app.serve had a second way to the peers' socket beside openSockets (peer.Listen, app.go 82), taken when the predecessor gave none or another address; it did not share the address, so the newcomer would end with 'address already in use'. Change: openSockets alone opens sockets, always shared; peer.Listen, which nothing else called, is gone. Besides: one case for a GET with a body, and the words of the 400 name folded lengths too.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -78,13 +78,6 @@
 	if s.peers != nil {
 		p = peer.New(s.peers, c.Peers, c.PeersAll, c.Settings.Self, log)
 		messenger = p
-	} else if c.PeerListen.IsValid() && c.Settings.MayMessage {
-		var err error
-		if p, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Self, log); err != nil {
-			tcp.Close()
-			return err
-		}
-		messenger = p
 	}
 	transport := upstream.New(c.Settings, c.Limits.MemoryMB, room-clients, log)
 	var g *gate
--- a/internal/app/takeover.go
+++ b/internal/app/takeover.go
@@ -29,30 +29,32 @@
 // sockets are what a process begins with: its own, or its predecessor's.
 type sockets struct {
 	clients *net.TCPListener
-	peers   *net.UDPConn          // nil: datagrams have a socket of their own, or there are none
+	peers   *net.UDPConn          // nil: nodes do not talk
 	from    *handover.Predecessor // nil: nobody is replaced
 }
 
 // openSockets takes those of the process that this one replaces, if there is one, else its own.
 func openSockets(c *Config, log *slog.Logger) (*sockets, error) {
+	s := &sockets{}
 	if c.Handover != "" {
 		p, err := handover.Ask(c.Handover, c.Name, c.Listen, c.PeerListen)
 		if err == nil {
 			log.Info("replacing the process that serves", "listen", c.Listen)
-			return &sockets{clients: p.Listener, peers: p.Peers, from: p}, nil
-		}
-		if !errors.Is(err, handover.ErrNone) {
+			s.clients, s.peers, s.from = p.Listener, p.Peers, p
+		} else if !errors.Is(err, handover.ErrNone) {
 			log.Warn("the process that serves hands nothing over; listening beside it", "err", err)
 		}
 	}
-	tcp, err := handover.ListenTCP(c.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	var err error
+	if s.clients == nil {
+		if s.clients, err = handover.ListenTCP(c.Listen); err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
 	}
-	s := &sockets{clients: tcp}
-	if c.PeerListen.IsValid() && c.Settings.MayMessage {
+	// A predecessor may have none to hand over, or another address.
+	if s.peers == nil && c.PeerListen.IsValid() && c.Settings.MayMessage {
 		if s.peers, err = handover.ListenUDP(c.PeerListen); err != nil {
-			tcp.Close()
+			s.clients.Close()
 			return nil, fmt.Errorf("peer_listen: %w", err)
 		}
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -130,7 +130,7 @@
 	}
 	patience, status, fault := check(r, settings)
 	if doubtful {
-		status, fault = http.StatusBadRequest, "both Content-Length and Transfer-Encoding"
+		status, fault = http.StatusBadRequest, "the body's end is in doubt: Content-Length beside Transfer-Encoding, or folded"
 	}
 	if fault != "" {
 		turnAway(status, fault)
@@ -230,9 +230,7 @@
 		return 0, http.StatusHTTPVersionNotSupported, "HTTP/1.1 only"
 	case r.Method != http.MethodGet && r.Method != http.MethodPost, r.Method != method:
 		return 0, http.StatusMethodNotAllowed, "the class wants " + method
-	case method == http.MethodGet && r.ContentLength > 0:
-		return 0, http.StatusBadRequest, "GET takes no body"
-	case method == http.MethodGet && len(r.TransferEncoding) > 0:
+	case method == http.MethodGet && r.ContentLength != 0: // -1: in chunks
 		return 0, http.StatusBadRequest, "GET takes no body"
 	case r.ContentLength > longLimit:
 		return 0, http.StatusRequestEntityTooLarge, "the body is too large"
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -35,17 +34,8 @@
 	log   *slog.Logger
 }
 
-// Listen begins to carry datagrams. nodes has one address for each node of the tier, this one's own at self; all, if
+// New begins to carry datagrams on a socket. nodes has one address for each node of the tier, this one's own at self; all, if
 // it is valid, reaches every node.
-func Listen(at netip.AddrPort, nodes []netip.AddrPort, all netip.AddrPort, self int, log *slog.Logger) (*Peers, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
-	}
-	return New(conn, nodes, all, self, log), nil
-}
-
-// New does so on a socket that is there.
 func New(conn *net.UDPConn, nodes []netip.AddrPort, all netip.AddrPort, self int, log *slog.Logger) *Peers {
 	return &Peers{conn: conn, nodes: nodes, all: all, self: self, queue: make(chan datagram, datagramQueue), log: log}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -24,10 +24,11 @@
 	}
 	other, stranger := udp(), udp()
 	address := func(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
-	p, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), []netip.AddrPort{{}, address(other)}, netip.AddrPort{}, 0, testkit.Quiet)
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
+	p := New(conn, []netip.AddrPort{{}, address(other)}, netip.AddrPort{}, 0, testkit.Quiet)
 	ctx, cancel := context.WithCancel(t.Context())
 	heard, ended := make(chan string, 9), make(chan struct{})
 	go p.Write(ctx)
