One way to write a refusal at the door; a pause that was set twice is set once

Need, seen on reading the change: admission.refuse and refuseNow each wrote the refusal and counted it; answer.begin set a pause to 0 that is 0 at every start. Change: turnAway serves both; the second setting is gone. Behaviour, bounds and tests are as they were.

--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -105,7 +105,7 @@
 // refuse answers the request of a connection for which there is no room. It waits a moment for it, to count it.
 func (a *admission) refuse(tcp *net.TCPConn) {
 	defer tcp.Close()
-	tcp.SetDeadline(time.Now().Add(refuseWait))
+	tcp.SetReadDeadline(time.Now().Add(refuseWait))
 	var text [4 << 10]byte
 	n, class := 0, ""
 	for class == "" && n < len(text) {
@@ -116,7 +116,12 @@
 		n += more
 		class = classIn(text[:n])
 	}
-	tcp.SetDeadline(time.Now().Add(refuseWait))
+	a.turnAway(tcp, class)
+}
+
+// turnAway writes the refusal, which counts under the request's class if that is known.
+func (a *admission) turnAway(tcp *net.TCPConn, class string) {
+	tcp.SetWriteDeadline(time.Now().Add(refuseWait))
 	if _, err := io.WriteString(tcp, refusal); err == nil {
 		a.refused(class)
 	}
@@ -128,13 +133,10 @@
 	var text [512]byte
 	n := peek(tcp, text[:])
 	if n > 0 {
-		tcp.SetDeadline(time.Now().Add(refuseWait))
+		tcp.SetReadDeadline(time.Now().Add(refuseWait))
 		tcp.Read(text[:n])
 	}
-	tcp.SetWriteDeadline(time.Now().Add(refuseWait))
-	if _, err := io.WriteString(tcp, refusal); err == nil {
-		a.refused(classIn(text[:n]))
-	}
+	a.turnAway(tcp, classIn(text[:n]))
 }
 
 // peek reads what has come without taking it.
--- a/internal/upstream/http1/answer.go
+++ b/internal/upstream/http1/answer.go
@@ -155,11 +155,8 @@
 	}
 	body = make([]byte, 0, size)
 	pauses := a.frame != byLength
-	if pauses {
-		// The connection's deadline is the request's; that of the pause comes first, once something has come.
-		a.c.pause = 0
-		defer func() { a.c.pause = 0 }()
-	}
+	// The connection's deadline is the request's; that of the pause comes first, once something has come.
+	defer func() { a.c.pause = 0 }()
 	var first time.Time
 	for {
 		if len(body) == cap(body) {
