Words of what a node has at servers go only to the nodes that meet those servers

Cause: every node told all others what it has at its servers (decide/words.go, tell: SendMessage{ToAll}), 6.7 times a second. But a node meets an arc of 8 servers of the ring, so of 300 nodes before 200 servers only 30 have any use for what it says. Also by reading: a word holds 84 servers and what did not fit was never told; two servers with one tag of 16 bits lost one's counts.

Change: internal/gossip, pure, tells whose arcs overlap. A node tells each of those what both meet, in datagrams of its own, and whoever speaks of servers beyond an arc of the usual length all of it; a node with a longer arc names all of it now and then. What does not fit into one datagram goes on in the next. Of servers that share a tag the one that lies in the sender's arc is meant. Readings of slots go the same way, but for a node's first. The queue for datagrams holds 512, as a word is now many.

Checked: tests fail with words to all, without the answer to long arcs, with the first tag taken, with the rest dropped.

--- /dev/null
+++ b/decide/audience_test.go
@@ -0,0 +1,142 @@
+package decide
+
+import (
+	"testing"
+	"time"
+
+	"starlingvalve/internal/gossip"
+)
+
+// fleetOf makes many nodes before the same servers.
+func fleetOf(nodes, servers int) (fleet []*Module) {
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{ID: ServerID(i + 1), Zone: "a", Kind: "k", Cell: i % 4, State: Ready, Size: 1})
+	}
+	for self := range nodes {
+		s := fleetSettings(self)
+		s.Nodes = nodes
+		m := New(s, int64(self)+1)
+		m.Handle(time.Second, ListUpdate{Kind: ListCached, Entries: list})
+		fleet = append(fleet, m)
+	}
+	return fleet
+}
+
+// pass hands on what a node's actions say to others, and counts the datagrams that arrive.
+func pass(now Time, fleet []*Module, from int, actions []Action) (datagrams, bytes int) {
+	for _, a := range actions {
+		w, ok := a.(SendMessage)
+		for j, m := range fleet {
+			if ok && j != from && (w.ToAll || w.To == j) {
+				m.Handle(now, MessageReceived{From: from, Data: w.Data})
+				datagrams, bytes = datagrams+1, bytes+len(w.Data)
+			}
+		}
+	}
+	return datagrams, bytes
+}
+
+// In a fleet of 300 each node knows what all others have at the servers that it meets, though each tells only the few nodes that
+// meet them too. Told to all, each node would hear ten times as much; and more nodes before as many more servers cost a node no more.
+func TestWordsReachThoseWhoMeetTheServer(t *testing.T) {
+	heard := map[int]float64{}
+	for _, nodes := range []int{75, 300} {
+		fleet := fleetOf(nodes, nodes*2/3)
+		now, datagrams := 2*time.Second, 0
+		for i := range nodes {
+			for range 1 + i%25/24*300 { // a busy node meets more servers than the others believe
+				now += 100 * time.Microsecond
+				fleet[i].Handle(now, RequestArrived{ID: RequestID(now.String()), Class: "cheap", Patience: time.Hour})
+			}
+		}
+		for range 80 { // 2 s
+			now += 25 * time.Millisecond
+			for i, m := range fleet {
+				n, _ := pass(now, fleet, i, append([]Action(nil), m.Handle(now, TimerFired{})...))
+				datagrams += n
+			}
+		}
+		if got := len(fleet[24].near); got <= int(subsetLeast) {
+			t.Fatalf("the busy node meets %d servers", got)
+		}
+		heard[nodes] = float64(datagrams) / float64(nodes) / 2
+		for i, m := range fleet {
+			for _, s := range m.near {
+				others := 0.0
+				for j, o := range fleet {
+					if j != i && o.known[s.ID].near { // what a node has elsewhere is a rare further attempt
+						others += o.known[s.ID].n
+					}
+				}
+				if s.others != others {
+					t.Fatalf("of %d nodes, node %d believes that the others have %v at server %d; they have %v", nodes, i, s.others, s.ID, others)
+				}
+			}
+		}
+	}
+	if heard[300] > 300 || heard[300] > 1.3*heard[75] {
+		t.Errorf("a node of 300 hears %.0f datagrams a second, one of 75 %.0f", heard[300], heard[75])
+	}
+}
+
+// Where two servers share a tag, a node's count is of the one that it meets; and none is lost when the other one goes.
+func TestSharedTag(t *testing.T) {
+	m := fleetOf(300, 200)[0]
+	a, b := m.ring[0], m.ring[100]
+	m.untag(b)
+	b.place = b.place&^(0xffff<<32) | uint64(a.tag())<<32 // as far off as before, by its upper bits
+	m.tags[a.tag()] = append(m.tags[a.tag()], b)
+	from := func(place int) int {
+		for j := range 300 {
+			if start := place - gossip.Start(j, 200); start >= 0 && start < 8 {
+				return j
+			}
+		}
+		t.Fatalf("no node meets server %d", place)
+		return 0
+	}
+	word := []byte{countMark, byte(a.tag() >> 8), byte(a.tag()), 5}
+	m.Handle(2*time.Second, MessageReceived{From: from(100), Data: word})
+	if a.others != 0 || b.others != 5 {
+		t.Errorf("of a node that meets the second one: %v and %v; want 0 and 5", a.others, b.others)
+	}
+	m.Handle(2*time.Second, MessageReceived{From: from(0), Data: word})
+	if a.others != 5 || b.others != 5 {
+		t.Errorf("of a node that meets the first one too: %v and %v; want 5 and 5", a.others, b.others)
+	}
+	m.untag(b)
+	if got := m.tagged(a.tag(), from(100)); got != a {
+		t.Error("the tag of the one that has stayed is lost")
+	}
+}
+
+// A node that has work at more servers than one datagram holds tells of all of them, and of no more than is met to those whose arcs
+// are of the usual length.
+func TestManyServersTold(t *testing.T) {
+	fleet := fleetOf(300, 200)
+	m, audience := fleet[0], gossip.Audience(300, 0, 200, 8, 8)
+	long, usual := fleet[audience[0]], fleet[audience[1]]
+	m.Handle(2*time.Second, MessageReceived{From: audience[1], Data: []byte{countMark}})
+	for _, s := range m.ring {
+		s.n = 2
+	}
+	for now := 2 * time.Second; now < 4*time.Second; now += 25 * time.Millisecond {
+		m.others[audience[0]].longAt = now
+		pass(now, fleet, 0, append([]Action(nil), m.Handle(now, TimerFired{})...))
+	}
+	for i, s := range long.ring {
+		if s.others != 2 {
+			t.Errorf("server %d of the ring: the other node believes %v; want 2", i, s.others)
+		}
+	}
+	told := 0
+	for _, s := range usual.ring {
+		if told += int(s.others) / 2; s.near && s.others != 2 {
+			t.Errorf("server %d: a node that meets it believes %v; want 2", s.ID, s.others)
+		}
+	}
+	if told > 8+2*gossip.Slack {
+		t.Errorf("a node that meets 8 servers is told of %d", told)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"starlingvalve/internal/gossip"
 )
 
 const (
@@ -369,7 +371,7 @@
 	if !m.stale && n == len(m.near) {
 		return
 	}
-	start := int(math.Mod((float64(m.set.Self)+0.5)*math.Phi, 1) * float64(len(m.ring)))
+	start := gossip.Start(m.set.Self, len(m.ring))
 	m.choices++
 	old := m.near
 	next := make([]*server, 0, n)
@@ -1062,12 +1064,10 @@
 	}
 	m.ring, m.stale = m.ring.change(left, come), true
 	for _, s := range left {
-		if m.tags[s.tag()] == s {
-			delete(m.tags, s.tag())
-		}
+		m.untag(s)
 	}
 	for _, s := range come {
-		m.tags[s.tag()] = s
+		m.tags[s.tag()] = append(m.tags[s.tag()], s)
 	}
 	if m.whole {
 		m.near = m.ring // whose array may have changed
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -70,9 +70,17 @@
 	}
 	// Where requests wait, those that don't are as many as it works on at once.
 	if held, queue := math.Min(e.Report.InFlight, reportCap), e.Report.Queue; e.Report.HasQueue && queue >= 1 && queue < held {
+		first := m.slots == 0 // of any server: all nodes wait for that
 		m.learnSlots(s, held-queue)
-		if m.shared() {
-			m.do(SendMessage{ToAll: true, Data: slotsWord(s.ID, held-queue)})
+		if word := slotsWord(s.ID, held-queue); m.shared() && (first || m.whole) {
+			m.do(SendMessage{ToAll: true, Data: word})
+		} else if m.shared() {
+			place := m.placeOf(s)
+			m.eachPeer(func(j int, meets func(int) bool) {
+				if meets(place) {
+					m.do(SendMessage{To: j, Data: word})
+				}
+			})
 		}
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -143,14 +143,18 @@
 	budget             float64 // further attempts allowed
 	subscribed, asking bool
 	askAt, askedAt     Time
-	probedAt, tellAt   Time               // the last probe; the next word to the other nodes
-	dice               float64            // spreads the next probe
-	words              int                // told so far
-	toldSome           bool               // one since the last whole one, or that one, said of something
-	others             []told             // by their numbers; nil until one has said anything
-	tags               map[uint16]*server // of the ring, by their short names
-	slots              float64            // of the mean server, as server's
-	shed, shedNow      float64            // drop fraction for where no server is normal: what persists of it; in all
+	probedAt, tellAt   Time                 // the last probe; the next word to the other nodes
+	dice               float64              // spreads the next probe
+	words              int                  // told so far
+	toldSome           bool                 // one since the last whole one, or that one, said of something
+	others             []told               // by their numbers; nil until one has said anything
+	items              []item               // scratch: what is told
+	toldPeer           []bool               // as toldSome, of each other node
+	inAudience         []bool               // by their numbers: nodes whose arcs overlap this one's
+	audienceOf         [2]int               // the lengths of the ring and of the arc that it is for
+	tags               map[uint16][]*server // of the ring, by their short names, which two may share
+	slots              float64              // of the mean server, as server's
+	shed, shedNow      float64              // drop fraction for where no server is normal: what persists of it; in all
 	askWait            time.Duration
 }
 
@@ -158,12 +162,13 @@
 func New(s Settings, seed int64) *Module {
 	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
 		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		tags: map[uint16]*server{}, cells: map[int]*pool{}, zones: map[string]*pool{}}
+		tags: map[uint16][]*server{}, cells: map[int]*pool{}, zones: map[string]*pool{}}
 	m.salt = mix(m.rng)
 	for i := range m.pools {
 		m.pools[i].by = byMode
 	}
 	m.set.Nodes = max(1, s.Nodes)
+	m.inAudience, m.toldPeer = make([]bool, m.set.Nodes), make([]bool, m.set.Nodes)
 	m.share = 1 / float64(m.set.Nodes)
 	if !s.HoldOffs {
 		m.set.MaxHoldOff = 0
--- a/decide/words.go
+++ b/decide/words.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"math"
 	"slices"
+
+	"starlingvalve/internal/gossip"
 )
 
 const (
@@ -20,6 +22,7 @@
 // told is what another node last said that it has at servers.
 type told struct {
 	at     Time
+	longAt Time // when it last spoke of a server that this node meets and that it has in no arc of the usual length
 	counts []count
 }
 
@@ -64,7 +67,7 @@
 		m.drop(o)
 	}
 	for o.at = m.now; len(data) > 0; data = data[countSize:] {
-		s, n := m.tags[binary.BigEndian.Uint16(data)], float64(data[2])
+		s, n := m.tagged(binary.BigEndian.Uint16(data), from), float64(data[2])
 		if s == nil {
 			continue
 		}
@@ -72,6 +75,9 @@
 		if i < 0 {
 			i, o.counts = len(o.counts), append(o.counts, count{server: s})
 		}
+		if s.near && !gossip.Meets(gossip.Start(from, len(m.ring)), int(subsetLeast), m.placeOf(s), len(m.ring)) {
+			o.longAt = m.now
+		}
 		s.others += n - o.counts[i].n
 		o.counts[i].n = n
 		m.place(s)
@@ -88,6 +94,13 @@
 	o.counts = o.counts[:0]
 }
 
+// item is what this node has at a server, as it is told.
+type item struct {
+	place int // of the server in the ring
+	tag   uint16
+	n     uint8
+}
+
 // tell says what has changed of what this node has at servers, and now and then all of it, as words are lost. It forgets
 // what nodes that have fallen silent said.
 func (m *Module) tell() {
@@ -96,20 +109,22 @@
 	}
 	m.tellAt = m.now + m.jitter(countsEvery)
 	all := m.words%wholeEvery == 0
-	data := append(make([]byte, 0, 1+countSize*8), changeMark)
-	if all {
-		data[0] = countMark
-	}
-	for _, s := range m.ring {
-		if len(data) <= countSize*countMost && (all && s.n > 0 || s.n != s.toldN) {
-			data, s.toldN = append(binary.BigEndian.AppendUint16(data, s.tag()), uint8(math.Min(math.MaxUint8, s.n))), s.n
+	m.words++
+	long := len(m.near) > int(subsetLeast) && !m.whole // the others take its arc for a shorter one: it names all of it
+	m.items = m.items[:0]
+	for i, s := range m.ring {
+		if all && (s.n > 0 || long && s.near) || s.n != s.toldN {
+			s.toldN = s.n
+			m.items = append(m.items, item{i, s.tag(), uint8(math.Min(math.MaxUint8, s.n))})
 		}
 	}
-	some := len(data) > 1
-	if some || all && m.toldSome {
-		m.do(SendMessage{ToAll: true, Data: data})
+	if m.whole {
+		m.tellItems(&m.toldSome, all, func(item) bool { return true }, SendMessage{ToAll: true})
+	} else {
+		m.eachPeer(func(j int, meets func(place int) bool) {
+			m.tellItems(&m.toldPeer[j], all, func(t item) bool { return meets(t.place) }, SendMessage{To: j})
+		})
 	}
-	m.words, m.toldSome = m.words+1, some || m.toldSome && !all
 	for i := range m.others {
 		if o := &m.others[i]; len(o.counts) > 0 && m.now-o.at > countsLife {
 			m.drop(o)
@@ -117,5 +132,85 @@
 	}
 }
 
+// tellItems sends those of the items that pass, in as many datagrams as they need. Of all of them the first one says so; it goes
+// out with nothing in it where nothing is left of what was told before.
+func (m *Module) tellItems(told *bool, all bool, pass func(item) bool, to SendMessage) {
+	mark, some := byte(changeMark), false
+	if all {
+		mark = countMark
+	}
+	for _, t := range m.items {
+		if !pass(t) {
+			continue
+		}
+		if some = true; len(to.Data) > countSize*countMost {
+			m.do(to)
+			mark, to.Data = changeMark, nil // which adds to it
+		}
+		if to.Data == nil {
+			to.Data = append(make([]byte, 0, 1+countSize*4), mark)
+		}
+		to.Data = append(binary.BigEndian.AppendUint16(to.Data, t.tag), t.n)
+	}
+	if !some && all && *told {
+		to.Data = []byte{countMark}
+	}
+	if to.Data != nil {
+		m.do(to)
+	}
+	*told = some || *told && !all
+}
+
+// eachPeer gives the nodes that meet servers which this one meets, and which servers they meet: by their arcs, where those are
+// of the usual length; and those that have spoken of such a server lately, whatever arcs they have. Nobody else has a use for
+// what this node says of its servers, and a word from each node to all costs the fleet the square of its size.
+func (m *Module) eachPeer(f func(j int, meets func(place int) bool)) {
+	ring, usual := len(m.ring), int(subsetLeast)
+	if now := [2]int{ring, len(m.near)}; now != m.audienceOf {
+		m.audienceOf = now
+		clear(m.inAudience)
+		for _, j := range gossip.Audience(m.set.Nodes, m.set.Self, ring, len(m.near), usual) {
+			m.inAudience[j] = true
+		}
+	}
+	for j, in := range m.inAudience {
+		if m.others != nil && m.others[j].longAt > 0 && m.now-m.others[j].longAt <= 2*countsLife {
+			f(j, func(int) bool { return true })
+		} else if in {
+			start := gossip.Start(j, ring)
+			f(j, func(place int) bool { return gossip.Meets(start, usual, place, ring) })
+		}
+	}
+}
+
+// tagged is the server that a node means by a tag. Where two share it, it is the one that the node's arc comes to first.
+func (m *Module) tagged(tag uint16, from int) (best *server) {
+	least := len(m.ring)
+	for _, s := range m.tags[tag] {
+		if len(m.tags[tag]) == 1 {
+			return s
+		}
+		if ahead := gossip.Ahead(from, m.placeOf(s), len(m.ring)); ahead < least {
+			best, least = s, ahead
+		}
+	}
+	return best
+}
+
+// placeOf is where in the ring a server stands.
+func (m *Module) placeOf(s *server) int {
+	i, _ := slices.BinarySearchFunc(m.ring, s, byPlace)
+	return i
+}
+
+// untag takes a server's tag away.
+func (m *Module) untag(s *server) {
+	if rest := slices.DeleteFunc(m.tags[s.tag()], func(t *server) bool { return t == s }); len(rest) > 0 {
+		m.tags[s.tag()] = rest
+	} else {
+		delete(m.tags, s.tag())
+	}
+}
+
 // tag is a server's short name among nodes.
 func (s *server) tag() uint16 { return uint16(s.place >> 32) }
--- /dev/null
+++ b/internal/gossip/audience_test.go
@@ -0,0 +1,54 @@
+package gossip
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Two nodes that meet a server in common are in one another's audience, whatever the sizes; the audience is those and few more.
+func TestAudienceMeets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes, servers := rapid.IntRange(1, 160).Draw(t, "nodes"), rapid.IntRange(1, 250).Draw(t, "servers")
+		size := min(servers, rapid.IntRange(1, 30).Draw(t, "size"))
+		self := rapid.IntRange(0, nodes-1).Draw(t, "self")
+		arc := func(node int) (places []int) {
+			for i := range size {
+				places = append(places, (Start(node, servers)+i)%servers)
+			}
+			return places
+		}
+		audience, mine := Audience(nodes, self, servers, size, size), arc(self)
+		if slices.Contains(audience, self) || !slices.IsSorted(audience) {
+			t.Fatalf("the audience of %d is %v", self, audience)
+		}
+		for j := range nodes {
+			in := slices.Contains(audience, j)
+			if meets := slices.ContainsFunc(arc(j), func(p int) bool { return slices.Contains(mine, p) }); meets && !in && j != self {
+				t.Fatalf("node %d shares a server with %d and is not told", j, self)
+			}
+			if in != slices.Contains(Audience(nodes, j, servers, size, size), self) && j != self {
+				t.Fatalf("of %d and %d one tells the other and is not told", self, j)
+			}
+		}
+		if most := nodes*(2*(size+Slack)+1)/servers + 4; len(audience) > most {
+			t.Fatalf("%d of %d nodes are told; want %d at most", len(audience), nodes, most)
+		}
+	})
+}
+
+// No node beyond the ring's end, no part of a ring of nothing.
+func TestEdges(t *testing.T) {
+	if Overlap(0, 8, 0, 8, 0) || len(Audience(5, 0, 0, 8, 8)) != 0 {
+		t.Error("an empty ring has an audience")
+	}
+	if a := Audience(1, 0, 10, 8, 8); len(a) != 0 {
+		t.Errorf("one node alone tells %v", a)
+	}
+	for j := range 1000 {
+		if s := Start(j, 7); s < 0 || s >= 7 || Ahead(j, s, 7) != 0 || Ahead(j, (s+6)%7, 7) != 6 {
+			t.Fatalf("node %d begins at %d", j, s)
+		}
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,7 +15,7 @@
 const (
 	// DatagramLimit is the longest datagram, in bytes.
 	DatagramLimit = 256
-	datagramQueue = 64 // datagrams that wait to be sent; more are lost, as datagrams may be
+	datagramQueue = 512 // datagrams that wait to be sent, some words to each of those who meet the same servers; more are lost
 )
 
 type datagram struct {
