A node that hears no other one reckons their load from its own part, in place of none

After countsLife (2 s) all counts were dropped (decide/words.go, tell and drop): the requests that wait for each slot went from -0.34 to -0.90 at 8.2 s while the node's own requests doubled from 4 to 9, all servers were normal, q2 was 0. At 12.3 s the words came back with +0.58, 0.5 s later +1.19: 13 requests at servers of 6 slots, which took until after 20 s to work off (medians of 1,360 ms from 10 to 15 s beside 326 ms at the start). Ruled out: suspects (3 of 8 at most), CPU (0.02 of a core).

Change: internal/gossip.Reckoning, pure, keeps the node's part of all requests at its servers while it hears others. While nobody has been heard for a second, and until 1.5 s after, what the others have at a server is its own requests over that part. Where some are heard, the silent ones have died and their counts lapse as before.

Checked: TestSilenceIsNoEmptyFleet fails without it (-0.83 waiting in place of 0.17).

--- a/decide/audience_test.go
+++ b/decide/audience_test.go
@@ -140,3 +140,53 @@
 		t.Errorf("a node that meets 8 servers is told of %d", told)
 	}
 }
+
+// A network that carries no datagrams between nodes empties no server: a node that hears nobody goes by its own part of what
+// all had, and by the others' words again once all have had the time to tell. Where some are still heard, those that are silent
+// have died, and what they had is gone.
+func TestSilenceIsNoEmptyFleet(t *testing.T) {
+	for _, all := range []bool{true, false} {
+		m := fleetOf(300, 200)[0]
+		now := 2 * time.Second
+		m.Handle(now, MessageReceived{From: 7, Data: slotsWord(m.near[0].ID, 6)})
+		for _, s := range m.near {
+			s.n = 1
+		}
+		tell := func(from, n int) {
+			data := []byte{countMark}
+			for _, s := range m.near {
+				data = append(data, byte(s.tag()>>8), byte(s.tag()), byte(n))
+			}
+			m.Handle(now, MessageReceived{From: from, Data: data})
+		}
+		for range 400 { // 10 s
+			now += 25 * time.Millisecond
+			m.Handle(now, TimerFired{})
+			tell(1, 4)
+			tell(2, 2)
+		}
+		crowded := m.waiting(m.near[0])
+		for range 160 { // 4 s
+			now += 25 * time.Millisecond
+			m.Handle(now, TimerFired{})
+			if !all {
+				tell(2, 2)
+			}
+		}
+		switch got := m.waiting(m.near[0]); {
+		case all && (got < crowded-0.1 || got > crowded+0.1):
+			t.Errorf("with nobody heard %.2f wait for each slot; want about %.2f, as before", got, crowded)
+		case !all && got > crowded-0.5:
+			t.Errorf("with one of two still heard %.2f wait for each slot; before %.2f", got, crowded)
+		}
+		for range 80 { // 2 s
+			now += 25 * time.Millisecond
+			m.Handle(now, TimerFired{})
+			tell(1, 0)
+			tell(2, 1)
+		}
+		if got := m.waiting(m.near[0]); got > 2.0/6-0.99 {
+			t.Errorf("heard again: %.2f wait for each slot; two of six are taken", got)
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -810,7 +810,7 @@
 // sooner is the one with the lower expected delay.
 func (m *Module) sooner(a, b *server) *server {
 	if m.counted(a) && m.counted(b) {
-		if m.speedOf(b)*(a.n+a.others+1) > m.speedOf(a)*(b.n+b.others+1) {
+		if m.speedOf(b)*(a.n+m.othersAt(a)+1) > m.speedOf(a)*(b.n+m.othersAt(b)+1) {
 			return b
 		}
 		return a
@@ -973,6 +973,7 @@
 	from := m.cursor
 	complete := m.look()
 	m.survey(complete)
+	m.reckon()
 	m.awake()
 	for _, s := range m.near[from:min(len(m.near), from+m.stride())] {
 		if !s.near {
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -48,7 +48,7 @@
 	}
 	m.probedAt, m.dice = m.now, m.random()
 	s, t := m.near[int(m.random()*float64(len(m.near)))], m.near[int(m.random()*float64(len(m.near)))]
-	if (t.slots == 0) != (s.slots == 0) && t.slots == 0 || (t.slots == 0) == (s.slots == 0) && t.n+t.others > s.n+s.others {
+	if (t.slots == 0) != (s.slots == 0) && t.slots == 0 || (t.slots == 0) == (s.slots == 0) && t.n+m.othersAt(t) > s.n+m.othersAt(s) {
 		s = t
 	}
 	if s.asked && m.now-s.askedAt < probeWait || s.suspect {
@@ -108,7 +108,7 @@
 func (m *Module) counted(s *server) bool { return m.shared() && m.slotsOf(s) > 0 }
 
 // waiting is the number of requests that wait for each slot of a server by all nodes' counts, below 0 where slots are free.
-func (m *Module) waiting(s *server) float64 { return (s.n+s.others)/m.slotsOf(s) - 1 }
+func (m *Module) waiting(s *server) float64 { return (s.n+m.othersAt(s))/m.slotsOf(s) - 1 }
 
 // balance renews the drop fraction for where no server is normal: by how far the mean queue is from what is aimed at, and
 // by how long it has been. All nodes see about the same queues, and so shed about the same.
--- a/decide/state.go
+++ b/decide/state.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"starlingvalve/internal/gossip"
 )
 
 // Mode is the overload state of a server as this node sees it: the paper's s = 0, 1, 2.
@@ -148,6 +150,9 @@
 	words              int                  // told so far
 	toldSome           bool                 // one since the last whole one, or that one, said of something
 	others             []told               // by their numbers; nil until one has said anything
+	reckoning          gossip.Reckoning     // of what the others have, for when none of them is heard,
+	deaf               bool                 // as now;
+	reckoned           float64              // at each server of the subset
 	items              []item               // scratch: what is told
 	toldPeer           []bool               // as toldSome, of each other node
 	inAudience         []bool               // by their numbers: nodes whose arcs overlap this one's
--- a/decide/words.go
+++ b/decide/words.go
@@ -66,6 +66,7 @@
 	if all {
 		m.drop(o)
 	}
+	m.reckoning.Heard(m.now)
 	for o.at = m.now; len(data) > 0; data = data[countSize:] {
 		s, n := m.tagged(binary.BigEndian.Uint16(data), from), float64(data[2])
 		if s == nil {
@@ -212,5 +213,28 @@
 	}
 }
 
+// othersAt is what the other nodes have at a server: as they say, or as this node's own part of all lets it reckon while it hears
+// nobody.
+func (m *Module) othersAt(s *server) float64 {
+	if m.deaf {
+		return m.reckoned
+	}
+	return s.others
+}
+
+// reckon goes on with that reckoning.
+func (m *Module) reckon() {
+	if !m.shared() || len(m.near) == 0 {
+		return
+	}
+	own, others := 0.0, 0.0
+	for _, s := range m.near {
+		own, others = own+s.n, others+s.others
+	}
+	m.reckoning.Look(m.now, own, others)
+	all, ok := m.reckoning.Others()
+	m.deaf, m.reckoned = ok && m.reckoning.Deaf(m.now), all/float64(len(m.near))
+}
+
 // tag is a server's short name among nodes.
 func (s *server) tag() uint16 { return uint16(s.place >> 32) }
--- /dev/null
+++ b/internal/gossip/reckon_test.go
@@ -0,0 +1,58 @@
+package gossip
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// A node that has a tenth of all goes by ten times its own while it hears nobody, follows what that becomes, and by what
+// it is told again once all have had the time to tell it.
+func TestReckoning(t *testing.T) {
+	var r Reckoning
+	now := time.Duration(0)
+	step := func(d time.Duration, own, others float64, hears bool) {
+		for end := now + d; now < end; now += 25 * time.Millisecond {
+			if hears {
+				r.Heard(now)
+			}
+			r.Look(now, own, others)
+		}
+	}
+	near := func(want float64) {
+		t.Helper()
+		if got, ok := r.Others(); !ok || math.Abs(got-want) > want/20 {
+			t.Errorf("at %v: %v, %v; want %v", now, got, ok, want)
+		}
+	}
+	step(3*time.Second, 4, 0, false)
+	if _, ok := r.Others(); ok || r.Deaf(now) {
+		t.Error("a node that has never heard anybody reckons")
+	}
+	step(10*time.Second, 4, 36, true)
+	near(36)
+	if r.Deaf(now) {
+		t.Error("deaf beside others that speak")
+	}
+	step(1200*time.Millisecond, 4, 36, false)
+	if !r.Deaf(now) {
+		t.Error("not deaf after 1.2 s")
+	}
+	near(36)
+	step(5*time.Second, 8, 0, false)
+	near(72)
+	step(time.Second, 8, 20, true) // part of what they have
+	if !r.Deaf(now) {
+		t.Error("goes by what a part of the others has told")
+	}
+	near(72)
+	step(20*time.Second, 8, 24, true)
+	if r.Deaf(now) {
+		t.Error("deaf for ever")
+	}
+	near(24)
+	step(30*time.Second, 0, 0, false)
+	if got, _ := r.Others(); got > 0.01 {
+		t.Errorf("an idle node believes in %v requests", got)
+	}
+}
