--- a/cmd/starlingvalve/platform_test.go
+++ b/cmd/starlingvalve/platform_test.go
@@ -182,6 +182,7 @@
 	cmd, _ := program(t, n.config)
 	cmd.Env = append(cmd.Env, asBarred+"=1", "TMPDIR="+n.dir)
 	lines, listen := begin(t, cmd)
+	t.Cleanup(func() { cmd.Process.Kill() })
 	go func() {
 		for lines.Scan() {
 		}
