Review of the fleet's words: one set-up for test nodes, no skipped test, bounds that can fail

Need, found on reading the whole change again: the list and node of the fleet's tests were written twice (audience_test beside shared_test); a test that failed left its program running because begin only stopped its guard, which one test had mended for itself; the test of refused calls could be skipped; its twin for words allowed 300 datagrams a second where words to all make 299, so that bound could not fail; the reckoning's least was in requests times seconds squared.

No decision changes.

--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -22,15 +22,14 @@
 const asProgram = "STARLINGVALVE_TEST_AS_PROGRAM"
 
 func TestMain(m *testing.M) {
-	if os.Getenv(asProgram) != "" && os.Getenv(asBarred) != "" {
+	switch {
+	case os.Getenv(asProgram) == "":
+		os.Exit(m.Run())
+	case os.Getenv(asBarred) != "":
 		barred()
-		return
-	}
-	if os.Getenv(asProgram) != "" {
+	default:
 		main()
-		return
 	}
-	os.Exit(m.Run())
 }
 
 func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
@@ -56,7 +55,7 @@
 		t.Fatal(err)
 	}
 	guard := time.AfterFunc(time.Minute, func() { cmd.Process.Kill() })
-	t.Cleanup(func() { guard.Stop() })
+	t.Cleanup(func() { guard.Stop(); cmd.Process.Kill() }) // also where the test fails before it has ended the program
 	lines = bufio.NewScanner(log)
 	lines.Scan()
 	_, rest, _ := strings.Cut(lines.Text(), "listen=")
--- a/cmd/starlingvalve/platform_test.go
+++ b/cmd/starlingvalve/platform_test.go
@@ -149,7 +149,7 @@
 		cmd.Env = append(cmd.Env, asBarred+"=1", asProbe+"="+probe)
 		err := cmd.Run()
 		if cmd.ProcessState.ExitCode() == 3 {
-			t.Skip(log) // a kernel without such filters
+			t.Fatal(log)
 		}
 		if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); !ok || status.Signal() != syscall.SIGSYS {
 			t.Fatalf("%s is not barred: %v", probe, err)
@@ -182,7 +182,6 @@
 	cmd, _ := program(t, n.config)
 	cmd.Env = append(cmd.Env, asBarred+"=1", "TMPDIR="+n.dir)
 	lines, listen := begin(t, cmd)
-	t.Cleanup(func() { cmd.Process.Kill() })
 	go func() {
 		for lines.Scan() {
 		}
@@ -225,7 +224,6 @@
 			t.Errorf("the node ended with %v", err)
 		}
 	case <-time.After(testkit.Patient):
-		cmd.Process.Kill()
 		t.Error("the node has not ended")
 	}
 }
--- a/decide/audience_test.go
+++ b/decide/audience_test.go
@@ -9,36 +9,28 @@
 
 // fleetOf makes many nodes before the same servers.
 func fleetOf(nodes, servers int) (fleet []*Module) {
-	var list []Server
-	for i := range servers {
-		list = append(list, Server{ID: ServerID(i + 1), Zone: "a", Kind: "k", Cell: i % 4, State: Ready, Size: 1})
-	}
 	for self := range nodes {
-		s := fleetSettings(self)
-		s.Nodes = nodes
-		m := New(s, int64(self)+1)
-		m.Handle(time.Second, ListUpdate{Kind: ListCached, Entries: list})
-		fleet = append(fleet, m)
+		fleet = append(fleet, nodeOf(nodes, self, servers))
 	}
 	return fleet
 }
 
 // pass hands on what a node's actions say to others, and counts the datagrams that arrive.
-func pass(now Time, fleet []*Module, from int, actions []Action) (datagrams, bytes int) {
+func pass(now Time, fleet []*Module, from int, actions []Action) (datagrams int) {
 	for _, a := range actions {
 		w, ok := a.(SendMessage)
 		for j, m := range fleet {
 			if ok && j != from && (w.ToAll || w.To == j) {
 				m.Handle(now, MessageReceived{From: from, Data: w.Data})
-				datagrams, bytes = datagrams+1, bytes+len(w.Data)
+				datagrams++
 			}
 		}
 	}
-	return datagrams, bytes
+	return datagrams
 }
 
 // In a fleet of 300 each node knows what all others have at the servers that it meets, though each tells only the few nodes that
-// meet them too. Told to all, each node would hear ten times as much; and more nodes before as many more servers cost a node no more.
+// meet them too. Told to all, each node would hear 299 datagrams a second here; and more nodes before as many more servers cost a node no more.
 func TestWordsReachThoseWhoMeetTheServer(t *testing.T) {
 	heard := map[int]float64{}
 	for _, nodes := range []int{75, 300} {
@@ -53,8 +45,7 @@
 		for range 80 { // 2 s
 			now += 25 * time.Millisecond
 			for i, m := range fleet {
-				n, _ := pass(now, fleet, i, append([]Action(nil), m.Handle(now, TimerFired{})...))
-				datagrams += n
+				datagrams += pass(now, fleet, i, append([]Action(nil), m.Handle(now, TimerFired{})...))
 			}
 		}
 		if got := len(fleet[24].near); got <= int(subsetLeast) {
@@ -75,7 +66,7 @@
 			}
 		}
 	}
-	if heard[300] > 300 || heard[300] > 1.3*heard[75] {
+	if heard[300] > 30 || heard[300] > 1.3*heard[75] {
 		t.Errorf("a node of 300 hears %.0f datagrams a second, one of 75 %.0f", heard[300], heard[75])
 	}
 }
@@ -152,25 +143,29 @@
 		for _, s := range m.near {
 			s.n = 1
 		}
-		tell := func(from, n int) {
-			data := []byte{countMark}
-			for _, s := range m.near {
-				data = append(data, byte(s.tag()>>8), byte(s.tag()), byte(n))
+		const silent = -1
+		step := func(has ...int) { // of the other nodes, from 1 on
+			now += 25 * time.Millisecond
+			m.Handle(now, TimerFired{})
+			for i, n := range has {
+				data := []byte{countMark}
+				for _, s := range m.near {
+					data = append(data, byte(s.tag()>>8), byte(s.tag()), byte(n))
+				}
+				if n != silent {
+					m.Handle(now, MessageReceived{From: i + 1, Data: data})
+				}
 			}
-			m.Handle(now, MessageReceived{From: from, Data: data})
 		}
 		for range 400 { // 10 s
-			now += 25 * time.Millisecond
-			m.Handle(now, TimerFired{})
-			tell(1, 4)
-			tell(2, 2)
+			step(4, 2)
 		}
 		crowded := m.waiting(m.near[0])
 		for range 160 { // 4 s
-			now += 25 * time.Millisecond
-			m.Handle(now, TimerFired{})
-			if !all {
-				tell(2, 2)
+			if all {
+				step()
+			} else {
+				step(silent, 2)
 			}
 		}
 		switch got := m.waiting(m.near[0]); {
@@ -180,10 +175,7 @@
 			t.Errorf("with one of two still heard %.2f wait for each slot; before %.2f", got, crowded)
 		}
 		for range 80 { // 2 s
-			now += 25 * time.Millisecond
-			m.Handle(now, TimerFired{})
-			tell(1, 0)
-			tell(2, 1)
+			step(0, 1)
 		}
 		if got := m.waiting(m.near[0]); got > 2.0/6-0.99 {
 			t.Errorf("heard again: %.2f wait for each slot; two of six are taken", got)
--- a/decide/shared_test.go
+++ b/decide/shared_test.go
@@ -17,14 +17,22 @@
 			{Name: "cheap", Worth: 1, Aim: 800 * time.Millisecond, Deadline: 3 * time.Second, Effect: Safe}}}
 }
 
-func fleetNode(t *testing.T, self, servers int) *Module {
-	t.Helper()
-	m := New(fleetSettings(self), int64(self)+1)
+// nodeOf is one of many nodes, with a list of servers.
+func nodeOf(nodes, self, servers int) *Module {
+	s := fleetSettings(self)
+	s.Nodes = nodes
+	m := New(s, int64(self)+1)
 	var list []Server
 	for i := range servers {
 		list = append(list, Server{ID: ServerID(i + 1), Zone: "a", Kind: "k", Cell: i % 4, State: Ready, Size: 1})
 	}
 	m.Handle(time.Second, ListUpdate{Kind: ListCached, Entries: list})
+	return m
+}
+
+func fleetNode(t *testing.T, self, servers int) *Module {
+	t.Helper()
+	m := nodeOf(80, self, servers)
 	if !m.shared() {
 		t.Fatal("80 nodes do not share what they know")
 	}
--- a/decide/words.go
+++ b/decide/words.go
@@ -186,11 +186,11 @@
 
 // tagged is the server that a node means by a tag. Where two share it, it is the one that the node's arc comes to first.
 func (m *Module) tagged(tag uint16, from int) (best *server) {
-	least := len(m.ring)
-	for _, s := range m.tags[tag] {
-		if len(m.tags[tag]) == 1 {
-			return s
-		}
+	same, least := m.tags[tag], len(m.ring)
+	if len(same) == 1 {
+		return same[0]
+	}
+	for _, s := range same {
 		if ahead := gossip.Ahead(from, m.placeOf(s), len(m.ring)); ahead < least {
 			best, least = s, ahead
 		}
--- a/internal/gossip/reckon.go
+++ b/internal/gossip/reckon.go
@@ -12,7 +12,7 @@
 	heardAt, since time.Duration // the last word; the first one after a silence
 	at             time.Duration // of the last look
 	heard, silent  bool          // anybody, ever; there has been a silence
-	own, all       float64       // sums of what it has and of what all have, over the last part of the time in which it heard them
+	own, all       float64       // requests times seconds: of what it has and of what all have, over the last part of the time in which it heard them
 	now            float64       // what it has, smoothed
 }
 
@@ -21,7 +21,7 @@
 	settles   = 1500 * time.Millisecond // after a silence: until all have told all that they have, which takes them so long
 	partTime  = 5.0                     // s; the memory of its part
 	ownTime   = 1.0                     // s; smoothing of its own requests, which are few
-	leastOwn  = 20.0                    // seconds times requests; less tells nothing of its part
+	leastAll  = 4.0                     // requests times seconds; less tells nothing of its part
 )
 
 // Heard notes a word of another node, at a time on a clock that runs evenly.
@@ -52,7 +52,7 @@
 // Others is what the others may have at all servers of the node together, in requests; ok is false where its part was never
 // learned.
 func (r *Reckoning) Others() (requests float64, ok bool) {
-	if r.all*partTime < leastOwn || r.own <= 0 {
+	if r.all < leastAll || r.own <= 0 {
 		return 0, false
 	}
 	return r.now * (r.all/r.own - 1), true
