--- /dev/null
+++ b/cmd/starlingvalve/fleet.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/user"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"starlingvalve/internal/control"
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// Exit codes of the fleet commands, beside 0 and, for all else, 1.
+const (
+	exitRefused   = 3 // by a budget, or as it is drained already
+	exitQueued    = 4 // it waits
+	exitUnproven  = 5 // nodes are unheard; their names are printed
+	exitOutOfHand = 6 // the agreement is out of reach
+)
+
+// exitCode is an error of which all has been said already.
+type exitCode int
+
+func (e exitCode) Error() string { return fmt.Sprintf("exit code %d", int(e)) }
+
+// asking is what the fleet commands share.
+type asking struct {
+	socket, by, why, output string
+	wait                    time.Duration
+}
+
+func (a *asking) json() bool { return a.output == "json" }
+
+const codesHelp = `Exit codes: 0 done, 1 wrong use, 3 refused by a budget, 4 waiting in the queue, 5 not proven (the nodes unheard are named),
+6 the agreement is out of reach.`
+
+func fleetCommand() *cobra.Command {
+	a := &asking{}
+	root := &cobra.Command{Use: "fleet", Short: "Ask the fleet's agreement: what is out, drains, budgets", Long: "Ask the fleet's agreement, through the socket of any node.\n\n" + codesHelp,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if a.socket == "" {
+				return errors.New("fleet: want --socket, the `socket` of some node's fleet file, or GW_FLEET_SOCKET")
+			}
+			if a.output != "text" && a.output != "json" {
+				return fmt.Errorf("fleet: --output: want text or json, have %q", a.output)
+			}
+			return nil
+		}}
+	me := os.Getenv("USER")
+	if u, err := user.Current(); err == nil {
+		me = u.Username
+	}
+	root.PersistentFlags().StringVar(&a.socket, "socket", os.Getenv("GW_FLEET_SOCKET"), "the `PATH` of a node's socket")
+	root.PersistentFlags().StringVar(&a.by, "by", me, "who asks, for the history")
+	root.PersistentFlags().StringVar(&a.why, "why", "", "the reason, for the history")
+	root.PersistentFlags().StringVarP(&a.output, "output", "o", "text", "text or json")
+	add := func(use, short string, args cobra.PositionalArgs, run func(c *cobra.Command, d *control.Door, args []string) error) *cobra.Command {
+		c := &cobra.Command{Use: use, Short: short, Args: args, RunE: func(c *cobra.Command, args []string) error {
+			err := run(c, control.Knock(a.socket), args)
+			if errors.Is(err, control.ErrDoor) {
+				fmt.Fprintln(os.Stderr, "starlingvalve: fleet:", err)
+				return exitCode(exitOutOfHand)
+			}
+			return err
+		}}
+		root.AddCommand(c)
+		return c
+	}
+	add("status", "What is out, who waits, the nodes, and this node's own view", cobra.NoArgs, a.status)
+	add("budget", "Each budget, and what is out of its groups", cobra.NoArgs, a.budget)
+	add("history", "Who asked what, and what became of it", cobra.NoArgs, a.history)
+	var dry, force bool
+	drain := add("drain SERVER", "Take a server out everywhere, if the budgets allow it", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		w := &fleetpb.Drain{Target: target(args[0]), By: a.by, Why: a.why, WaitMs: a.wait.Milliseconds(), Force: force}
+		if dry {
+			m, err := a.machine(c.Context(), d)
+			if err != nil {
+				return err
+			}
+			return a.tell(c.OutOrStdout(), "would be", m.Explain(w))
+		}
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Drain{Drain: w}})
+	})
+	drain.Flags().DurationVar(&a.wait, "queue", 0, "wait in the queue for so long, if the budgets are spent")
+	drain.Flags().BoolVar(&dry, "dry-run", false, "only tell what would become of it")
+	drain.Flags().BoolVar(&force, "force", false, "past the budgets; the history names who did it")
+	add("return SERVER", "Take a drained server back", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Return{Return: &fleetpb.Return{Target: target(args[0]), By: a.by, Why: a.why}}})
+	})
+	add("withdraw SERVER", "Take a drain that waits out of the queue", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Withdraw{Withdraw: &fleetpb.Withdraw{Target: target(args[0]), By: a.by}}})
+	})
+	add("forget TARGET", "Say that a lapsed node (node/n3) or a server that is gone (server/s-5) is no more", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Forget{Forget: &fleetpb.Forget{Target: target(args[0]), By: a.by, Why: a.why}}})
+	})
+	wait := add("wait SERVER", "Wait until a drain is proven: no node sends there, and nothing is left", cobra.ExactArgs(1), a.proof)
+	wait.Flags().DurationVar(&a.wait, "timeout", 30*time.Second, "for so long at most")
+	return root
+}
+
+// target names a server, where nothing else is named.
+func target(arg string) string {
+	if strings.Contains(arg, "/") {
+		return arg
+	}
+	return fleet.ServerTarget(arg)
+}
+
+// ask hands in an entry under a number of its own, so that it may be asked again without harm.
+func (a *asking) ask(c *cobra.Command, d *control.Door, e *fleetpb.Entry) error {
+	e.Ask = rand.Text()
+	ctx, cancel := context.WithTimeout(c.Context(), 30*time.Second)
+	defer cancel()
+	r, err := d.Ask(ctx, e)
+	if err != nil {
+		return err
+	}
+	return a.tell(c.OutOrStdout(), "", r)
+}
+
+// tell prints a result and gives its exit code.
+func (a *asking) tell(w io.Writer, before string, r *fleetpb.Result) error {
+	if a.json() {
+		raw, err := protojson.Marshal(r)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(w, string(raw))
+	} else {
+		line := strings.TrimSpace(before + " " + strings.ToLower(r.Code.String()))
+		if r.Epoch > 0 {
+			line += fmt.Sprintf(", epoch %d", r.Epoch)
+		}
+		if r.Place > 0 {
+			line += fmt.Sprintf(", place %d", r.Place)
+		}
+		if r.Reason != "" {
+			line += ": " + r.Reason
+		}
+		fmt.Fprintln(w, line)
+	}
+	switch r.Code {
+	case fleetpb.Result_DONE:
+		return nil
+	case fleetpb.Result_QUEUED:
+		return exitCode(exitQueued)
+	case fleetpb.Result_REFUSED, fleetpb.Result_FENCED:
+		return exitCode(exitRefused)
+	}
+	return exitCode(1)
+}
+
+// machine is the agreed state, to be asked here.
+func (a *asking) machine(ctx context.Context, d *control.Door) (*fleet.Machine, error) {
+	s, err := d.State(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.From(s), nil
+}
+
+const proofEvery = 50 * time.Millisecond
+
+// proof waits until a drain is proven.
+func (a *asking) proof(c *cobra.Command, d *control.Door, args []string) error {
+	ctx, cancel := context.WithTimeout(c.Context(), a.wait)
+	defer cancel()
+	t := target(args[0])
+	var p fleet.Proof
+	for {
+		m, err := a.machine(ctx, d)
+		switch {
+		case err != nil && ctx.Err() == nil && !errors.Is(err, control.ErrDoor):
+			return err
+		case err == nil:
+			if p = m.Proof(t); p.Proven {
+				fmt.Fprintf(c.OutOrStdout(), "proven, epoch %d: no node sends to %s, and nothing is left there\n", p.Epoch, t)
+				return nil
+			}
+			if !p.Granted {
+				fmt.Fprintf(c.OutOrStdout(), "not proven: %s is not drained\n", t)
+				return exitCode(exitUnproven)
+			}
+		}
+		select {
+		case <-time.After(proofEvery):
+			continue
+		case <-ctx.Done():
+		}
+		if !p.Granted {
+			return fmt.Errorf("%w within %v: %w", control.ErrDoor, a.wait, err)
+		}
+		fmt.Fprintf(c.OutOrStdout(), "not proven, epoch %d: unheard with a session: %s; unheard, session lapsed: %s\n", p.Epoch, names(p.Unheard), names(p.Lapsed))
+		return exitCode(exitUnproven)
+	}
+}
+
+func names(list []string) string {
+	if len(list) == 0 {
+		return "none"
+	}
+	return strings.Join(list, ", ")
+}
+
+func (a *asking) status(c *cobra.Command, d *control.Door, _ []string) error {
+	here, err := d.Here(c.Context())
+	if err != nil {
+		return err
+	}
+	m, err := a.machine(c.Context(), d)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "node %s: session %d, follows %d: %s\n", here.Node, here.Session, len(here.Out), names(slices.Sorted(maps.Keys(here.Out))))
+		return err
+	}
+	s := m.State()
+	if a.json() {
+		raw, err := protojson.Marshal(s)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), string(raw))
+		return nil
+	}
+	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintf(w, "epoch %d, %d servers; asked through %s, which %s\n", s.Epoch, len(s.Servers), here.Node, here.Voter)
+	at := func(ms int64) string { return time.UnixMilli(ms).Format(time.TimeOnly) }
+	for _, name := range slices.Sorted(maps.Keys(s.Nodes)) {
+		n, kind := s.Nodes[name], ""
+		if n.Voter {
+			kind = "voter"
+		}
+		if n.Leaving {
+			kind += " leaving"
+		}
+		fmt.Fprintf(w, "node\t%s\t%s\t%s since %s\tsession %d\t%s\n", name, n.Zone, n.State, at(n.SinceMs), n.Epoch, kind)
+	}
+	for _, t := range slices.Sorted(maps.Keys(s.Outs)) {
+		o, p, state := s.Outs[t], m.Proof(t), "proven"
+		if !p.Proven {
+			state = "unheard: " + names(append(p.Unheard, p.Lapsed...))
+		}
+		fmt.Fprintf(w, "out\t%s\tepoch %d\tby %s at %s\t%s\t%s\n", t, o.Epoch, o.By, at(o.GrantedMs), state, o.Why)
+	}
+	for i, q := range s.Queue {
+		fmt.Fprintf(w, "waits\t%s\tplace %d\tby %s until %s\t%s\n", q.Drain.Target, i+1, q.Drain.By, at(q.UntilMs), q.Reason)
+	}
+	return nil
+}
+
+func (a *asking) budget(c *cobra.Command, d *control.Door, _ []string) error {
+	m, err := a.machine(c.Context(), d)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	for _, g := range m.Groups() {
+		state := "within"
+		if over := g.Over(); over != "" {
+			state = "OVER: " + over
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d of %d out\t%.4g of %.4g left\t%s\t%s\n", g.Budget.Name, g.Name, len(g.Out), g.Members, g.Left, g.Weight, state, strings.Join(g.Out, ", "))
+	}
+	return nil
+}
+
+func (a *asking) history(c *cobra.Command, d *control.Door, _ []string) error {
+	m, err := a.machine(c.Context(), d)
+	if err != nil {
+		return err
+	}
+	for _, e := range m.State().History {
+		if a.json() {
+			raw, err := protojson.Marshal(e)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), string(raw))
+			continue
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%s  epoch %-4d %-12s %s\n", time.UnixMilli(e.AtMs).Format(time.RFC3339), e.Epoch, e.By, e.What)
+	}
+	return nil
+}
--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -20,6 +21,7 @@
 	"github.com/spf13/cobra"
 
 	"starlingvalve/internal/app"
+	"starlingvalve/internal/control"
 	"starlingvalve/internal/gateway"
 	"starlingvalve/internal/logqueue"
 	"starlingvalve/internal/recorder"
@@ -32,29 +34,39 @@
 	log := logqueue.New(os.Stderr, 0, 0)
 	stdlog.SetOutput(log) // libraries
 	err := command(log).Execute()
-	if err != nil {
+	var code exitCode
+	if err != nil && !errors.As(err, &code) { // else all is said
 		fmt.Fprintln(log, "starlingvalve:", err)
 	}
 	log.Close()
 	if err != nil {
-		os.Exit(1)
+		os.Exit(max(1, int(code)))
 	}
 }
 
 func command(log io.Writer) *cobra.Command {
-	var file, record string
+	var files files
 	root := &cobra.Command{Use: "starlingvalve", Short: "A load-balancing proxy node and gateway between sites",
 		Long: "A load-balancing proxy node. GW_CONFIG names its configuration; GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file.",
 		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 		RunE: func(*cobra.Command, []string) error {
-			return run(file, record, slog.New(slog.NewTextHandler(log, nil)))
+			return run(files, slog.New(slog.NewTextHandler(log, nil)))
 		}}
-	root.Flags().StringVar(&file, "gateway", "", "hand work to other sites as this `FILE` says (see deploy/gateway.toml)")
-	root.Flags().StringVar(&record, "record", "", "record what arrives as this `FILE` says (see deploy/record.toml)")
+	root.Flags().StringVar(&files.gateway, "gateway", "", "hand work to other sites as this `FILE` says (see deploy/gateway.toml)")
+	root.Flags().StringVar(&files.record, "record", "", "record what arrives as this `FILE` says (see deploy/record.toml)")
+	root.Flags().StringVar(&files.fleet, "fleet", "", "agree with other nodes on what may be out, as this `FILE` says (see deploy/fleet.toml)")
 	root.AddCommand(
-		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway file, certificates included, or of a record file", Args: cobra.ExactArgs(1),
+		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway file or a fleet file, certificates included, or of a record file", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				if isRecord(args[0]) {
+				if has(args[0], "node") {
+					f, err := control.Load(args[0], time.Now())
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(c.OutOrStdout(), "%s: good: node %s, %d voters, %d budgets\n", args[0], f.Name, len(f.Voters), len(f.Budgets))
+					return nil
+				}
+				if has(args[0], "record") {
 					r, err := recorder.Load(args[0])
 					if err != nil {
 						return err
@@ -72,14 +84,18 @@
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), "starlingvalve", version())
 		}})
+	root.AddCommand(fleetCommand())
 	root.SetArgs(dashes(os.Args[1:]))
 	return root
 }
 
-// isRecord tells whether a file is a record file, by its table.
-func isRecord(path string) bool {
+// files are what the flags name; empty: not there.
+type files struct{ gateway, record, fleet string }
+
+// has tells whether a file has a table: by these its kind is known.
+func has(path, table string) bool {
 	text, err := os.ReadFile(path)
-	return err == nil && regexp.MustCompile(`(?m)^\s*\[record\]`).Match(text)
+	return err == nil && regexp.MustCompile(`(?m)^\s*\[`+table+`\]`).Match(text)
 }
 
 // dashes lets long flags have one dash, as in -gateway FILE.
@@ -89,7 +105,7 @@
 		if a == "--" {
 			break
 		}
-		if strings.HasPrefix(a, "-gateway") || strings.HasPrefix(a, "-record") {
+		if strings.HasPrefix(a, "-gateway") || strings.HasPrefix(a, "-record") || strings.HasPrefix(a, "-fleet") {
 			out[i] = "-" + a
 		}
 	}
@@ -110,17 +126,22 @@
 	return v + " " + info.GoVersion
 }
 
-func run(gatewayFile, recordFile string, log *slog.Logger) error {
+func run(f files, log *slog.Logger) error {
 	reload := make(chan os.Signal, 1) // first of all: a SIGHUP that nothing catches ends the process
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	c, err := app.LoadConfig(os.Getenv, gatewayFile)
+	c, err := app.LoadConfig(os.Getenv, f.gateway)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	if recordFile != "" {
-		if c.Record, err = recorder.Load(recordFile); err != nil {
+	if f.record != "" {
+		if c.Record, err = recorder.Load(f.record); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+	}
+	if f.fleet != "" {
+		if c.Fleet, err = control.Load(f.fleet, time.Now()); err != nil {
 			return fmt.Errorf("configuration: %w", err)
 		}
 	}
--- /dev/null
+++ b/internal/agree/core_test.go
@@ -0,0 +1,351 @@
+package agree
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// words is a machine that keeps all it is told.
+type words struct{ list []string }
+
+func (w *words) Apply(entry []byte) any {
+	w.list = append(w.list, string(entry))
+	return len(w.list)
+}
+
+func (w *words) Snapshot() ([]byte, error) { return []byte(strings.Join(w.list, " ")), nil }
+
+func (w *words) Restore(raw []byte) error {
+	w.list = strings.Fields(string(raw))
+	return nil
+}
+
+// memory is a disk that outlives the core that writes to it, and can fail.
+type memory struct {
+	Kept
+	fails bool
+}
+
+var errDisk = errors.New("no space left")
+
+func (d *memory) Load() (Kept, error) { return d.Kept, nil }
+
+func (d *memory) Save(hs *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error {
+	if d.fails {
+		return errDisk
+	}
+	if hs != nil {
+		d.Hard = proto.CloneOf(hs)
+	}
+	if snap != nil {
+		d.Snapshot = proto.CloneOf(snap)
+	}
+	for _, e := range entries {
+		for len(d.Entries) > 0 && d.Entries[len(d.Entries)-1].GetIndex() >= e.GetIndex() {
+			d.Entries = d.Entries[:len(d.Entries)-1]
+		}
+		d.Entries = append(d.Entries, proto.CloneOf(e))
+	}
+	for len(d.Entries) > 0 && d.Entries[0].GetIndex() <= d.Snapshot.GetMetadata().GetIndex() {
+		d.Entries = d.Entries[1:]
+	}
+	return nil
+}
+
+// tier is some voters in virtual time: a network that loses, delays, doubles and is cut, and disks.
+type tier struct {
+	t       interface{ Fatalf(string, ...any) }
+	r       *rand.Rand
+	cores   []*Core // nil: dead
+	disks   []*memory
+	states  []*words
+	flying  []*raftpb.Message
+	cut     [][2]uint64     // from, to
+	said    map[string]bool // proposals that were answered
+	commits []string        // the longest list that any machine had
+	compact uint64
+}
+
+func newTier(t interface{ Fatalf(string, ...any) }, n int, seed uint64) *tier {
+	s := &tier{t: t, r: rand.New(rand.NewPCG(seed, 1)), said: map[string]bool{}, compact: 20}
+	for range n {
+		s.disks = append(s.disks, &memory{})
+	}
+	s.cores, s.states = make([]*Core, n), make([]*words, n)
+	for i := range n {
+		s.start(i)
+	}
+	return s
+}
+
+func (s *tier) start(i int) {
+	var ids []uint64
+	for j := range s.disks {
+		ids = append(ids, uint64(j+1))
+	}
+	s.states[i] = &words{}
+	c, err := NewCore(Options{ID: uint64(i + 1), Voters: ids, Disk: s.disks[i], Machine: s.states[i], CompactEvery: s.compact, Log: quiet})
+	if err != nil {
+		s.t.Fatalf("voter %d: %v", i+1, err)
+	}
+	s.cores[i] = c
+}
+
+func (s *tier) kill(i int) {
+	s.cores[i].Close()
+	s.cores[i] = nil
+}
+
+func (s *tier) isCut(m *raftpb.Message) bool {
+	for _, c := range s.cut {
+		if c == [2]uint64{m.GetFrom(), m.GetTo()} {
+			return true
+		}
+	}
+	return false
+}
+
+// step is one tick of all, and the arrival of some of what flies.
+func (s *tier) step(loss float64) {
+	for i, c := range s.cores {
+		if c == nil {
+			continue
+		}
+		c.Tick()
+		s.work(i)
+	}
+	for range 3 {
+		flying := s.flying
+		s.flying = nil
+		s.r.Shuffle(len(flying), func(i, j int) { flying[i], flying[j] = flying[j], flying[i] })
+		for _, m := range flying {
+			to := int(m.GetTo()) - 1
+			if s.isCut(m) || s.r.Float64() < loss || s.cores[to] == nil {
+				if m.GetType() == raftpb.MsgSnap && s.cores[m.GetFrom()-1] != nil {
+					s.cores[m.GetFrom()-1].SnapshotSent(m.GetTo(), false)
+				}
+				continue
+			}
+			if s.r.Float64() < loss/2 {
+				s.flying = append(s.flying, m) // it comes once more
+			}
+			s.cores[to].Step(proto.CloneOf(m))
+			s.work(to)
+			if m.GetType() == raftpb.MsgSnap && s.cores[m.GetFrom()-1] != nil {
+				s.cores[m.GetFrom()-1].SnapshotSent(m.GetTo(), true)
+			}
+		}
+	}
+}
+
+func (s *tier) work(i int) {
+	messages, err := s.cores[i].Work()
+	if err != nil {
+		if !errors.Is(err, errDisk) {
+			s.t.Fatalf("voter %d: %v", i+1, err)
+		}
+		s.kill(i)
+		return
+	}
+	s.flying = append(s.flying, messages...)
+	list := s.states[i].list
+	for j := range min(len(list), len(s.commits)) {
+		if list[j] != s.commits[j] {
+			s.t.Fatalf("voter %d has %q at %d, another one %q", i+1, list[j], j, s.commits[j])
+		}
+	}
+	if len(list) > len(s.commits) {
+		s.commits = append([]string(nil), list...)
+	}
+}
+
+func (s *tier) leader() int {
+	for i, c := range s.cores {
+		if c != nil && c.Status().Leads {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *tier) propose(i int, word string) {
+	s.cores[i].Propose([]byte(word), func(_ any, err error) {
+		if err == nil {
+			s.said[word] = true
+		}
+	})
+	s.work(i)
+}
+
+func (s *tier) until(what string, done func() bool) {
+	for range 2000 {
+		if done() {
+			return
+		}
+		s.step(0)
+	}
+	s.t.Fatalf("%s: not within 2,000 ticks", what)
+}
+
+// Whatever is cut, lost, killed and restarted: the machines agree, what was answered stays, and all goes on afterwards.
+func TestAgreement(t *testing.T) {
+	seeds := uint64(300)
+	if testing.Short() {
+		seeds = 50
+	}
+	for seed := range seeds {
+		n := 3 + 2*int(seed%2)
+		s := newTier(t, n, seed)
+		for i := range 250 {
+			switch {
+			case s.r.IntN(25) == 0:
+				s.cut = append(s.cut, [2]uint64{uint64(1 + s.r.IntN(n)), uint64(1 + s.r.IntN(n))})
+			case s.r.IntN(30) == 0:
+				s.cut = nil
+			case s.r.IntN(40) == 0:
+				if x := s.r.IntN(n); s.cores[x] != nil {
+					s.kill(x)
+				} else {
+					s.start(x)
+				}
+			case s.r.IntN(60) == 0:
+				s.disks[s.r.IntN(n)].fails = true
+			}
+			if x := s.leader(); x >= 0 && s.r.IntN(2) == 0 {
+				s.propose(x, fmt.Sprintf("w%d", i))
+			}
+			s.step(0.1)
+		}
+		s.cut = nil
+		for i := range n {
+			s.disks[i].fails = false
+			if s.cores[i] == nil {
+				s.start(i)
+			}
+		}
+		s.until(fmt.Sprintf("seed %d: an answer after all troubles", seed), func() bool {
+			if x := s.leader(); x >= 0 {
+				s.propose(x, "last")
+			}
+			return s.said["last"]
+		})
+		has := map[string]bool{}
+		for _, w := range s.commits {
+			has[w] = true
+		}
+		for w := range s.said {
+			if !has[w] {
+				t.Fatalf("seed %d: %s was answered and is not there", seed, w)
+			}
+		}
+	}
+}
+
+// A leader that is cut off stops answering within two elections: neither entries nor reads.
+func TestCutLeader(t *testing.T) {
+	s := newTier(t, 3, 1)
+	s.until("a leader", func() bool { return s.leader() >= 0 })
+	old := s.leader()
+	for i := range 3 {
+		s.cut = append(s.cut, [2]uint64{uint64(old + 1), uint64(i + 1)}, [2]uint64{uint64(i + 1), uint64(old + 1)})
+	}
+	var wrote, read error = errDisk, errDisk
+	s.cores[old].Propose([]byte("x"), func(_ any, err error) { wrote = err })
+	s.cores[old].Read(func(err error) { read = err })
+	for range 40 {
+		s.step(0)
+	}
+	if !errors.Is(wrote, ErrUnknown) || !errors.Is(read, ErrNotLeader) {
+		t.Errorf("entry: %v, read: %v", wrote, read)
+	}
+	if s.cores[old].Status().Leads || s.leader() < 0 {
+		t.Error("the office was not passed on")
+	}
+	s.cut = nil
+	s.until("all agree", func() bool { return s.cores[old].Status().Leader == uint64(s.leader()+1) })
+	if s.said["x"] || strings.Contains(strings.Join(s.commits, " "), "x") {
+		t.Error("an entry that no majority had took effect")
+	}
+}
+
+// A voter that was away for longer than the log is kept gets a snapshot.
+func TestSnapshotForLaggard(t *testing.T) {
+	s := newTier(t, 3, 2)
+	s.until("a leader", func() bool { return s.leader() >= 0 })
+	away := (s.leader() + 1) % 3
+	s.kill(away)
+	for i := range compactKeep + 100 {
+		s.until("a leader", func() bool { return s.leader() >= 0 })
+		s.propose(s.leader(), fmt.Sprintf("w%d", i))
+		s.step(0)
+	}
+	if first := s.cores[s.leader()].Status().First; first < 50 {
+		t.Fatalf("the log is kept from %d on: nothing was compacted", first)
+	}
+	s.start(away)
+	s.until("it has all", func() bool { return len(s.states[away].list) == len(s.commits) && len(s.commits) >= compactKeep+100 })
+}
+
+// A transfer hands the leadership over at once, not after an election's silence.
+func TestTransfer(t *testing.T) {
+	s := newTier(t, 5, 3)
+	s.until("a leader", func() bool { return s.leader() >= 0 })
+	to := (s.leader() + 1) % 5
+	s.cores[s.leader()].Transfer(uint64(to + 1))
+	for range 3 {
+		s.step(0)
+	}
+	if !s.cores[to].Status().Leads {
+		t.Error("not handed over within three ticks")
+	}
+}
+
+// The file keeps what a core needs, and only one process has it.
+func TestBolt(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log.db")
+	b, err := OpenBolt(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenBolt(path); err == nil {
+		t.Error("a second process has it too")
+	}
+	entry := func(index uint64, word string) *raftpb.Entry {
+		return &raftpb.Entry{Index: &index, Term: new(uint64(1)), Data: []byte(word)}
+	}
+	snap := &raftpb.Snapshot{Data: []byte("s"), Metadata: &raftpb.SnapshotMetadata{Index: new(uint64(1)), Term: new(uint64(1)), ConfState: &raftpb.ConfState{Voters: []uint64{1}}}}
+	for _, save := range []error{
+		b.Save(&raftpb.HardState{Term: new(uint64(3)), Vote: new(uint64(0)), Commit: new(uint64(1))}, nil, snap),
+		b.Save(nil, []*raftpb.Entry{entry(2, "a"), entry(3, "b"), entry(4, "c")}, nil),
+		b.Save(nil, []*raftpb.Entry{entry(3, "d")}, nil),
+		b.Found("f"),
+	} {
+		if save != nil {
+			t.Fatal(save)
+		}
+	}
+	birth, _ := b.Birth()
+	b.Close()
+	if b, err = OpenBolt(path); err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	k, err := b.Load()
+	if err != nil || len(k.Entries) != 2 || string(k.Entries[1].Data) != "d" || k.Hard.GetTerm() != 3 || !bytes.Equal(k.Snapshot.Data, snap.Data) {
+		t.Errorf("%v, %v", k, err)
+	}
+	if again, founding := b.Birth(); again != birth || founding != "f" || len(birth) != 16 {
+		t.Errorf("birth %q, then %q; founding %q", birth, again, founding)
+	}
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/control"
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/front/http1"
@@ -98,6 +99,13 @@
 		tcp.Close()
 		return err
 	}
+	var agreement *control.Control
+	if c.Fleet != nil {
+		if agreement, err = control.Open(c.Fleet, loop, log); err != nil {
+			tcp.Close()
+			return err
+		}
+	}
 	handler := front.NewHandler(loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
 	handler.Figures = figures
 	if c.Record != nil {
@@ -110,13 +118,17 @@
 		defer stopRecording()
 	}
 	clientFront := http1.New(tcp, clients, handler, log)
-	t := &takeover{front: clientFront, handler: handler, transport: transport, peers: p, loop: loop, clients: clients, servers: room - clients,
+	t := &takeover{agreement: agreement, front: clientFront, handler: handler, transport: transport, peers: p, loop: loop, clients: clients, servers: room - clients,
 		memoryMB: c.Limits.MemoryMB, setMemory: c.setMemory, log: log, before: s.from != nil, serves: s.from == nil}
 	t.set(func() {})
 
 	var running sync.WaitGroup
 	running.Go(func() { loop.Run(c.Known) })
 	running.Go(func() { transport.Run(inner) })
+	if agreement != nil {
+		agreement.Begin()
+		running.Go(agreement.Run)
+	}
 	if p != nil {
 		running.Go(func() { p.Write(inner) })
 		running.Go(func() { p.Read(loop.Heard) })
@@ -136,6 +148,9 @@
 		if err := g.take(c, loop); err != nil {
 			stop()
 			tcp.Close()
+			if agreement != nil {
+				agreement.Close()
+			}
 			if watched != nil {
 				watched.Close()
 			}
@@ -168,6 +183,9 @@
 		err = fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 		log.Info("draining")
+		if agreement != nil {
+			running.Go(agreement.Leaving)
+		}
 		end := time.Now().Add(c.drainTime())
 		var draining sync.WaitGroup
 		if g != nil {
@@ -177,6 +195,9 @@
 		draining.Wait() // a node without clients may still serve another site's
 		log.Info("drained")
 	}
+	if agreement != nil {
+		agreement.Close()
+	}
 	stop()
 	clientFront.Close()
 	if watched != nil {
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/control"
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/gateway"
 	"starlingvalve/internal/handover"
@@ -43,6 +44,7 @@
 	Settings decide.Settings
 	Gateway  *gateway.Config  // nil: nothing crosses
 	Record   *recorder.Config // nil: nothing is recorded
+	Fleet    *control.Config  // nil: this node agrees with nobody
 
 	reread    func() (*Config, error)
 	setMemory func(bytes int64) int64 // nil: the memory is not bounded
--- a/internal/app/takeover.go
+++ b/internal/app/takeover.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/control"
 	"starlingvalve/internal/core"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/front/http1"
@@ -100,6 +101,7 @@
 
 // takeover holds a process to its part of the node while another of the same node runs, before it or after it.
 type takeover struct {
+	agreement *control.Control // nil: none
 	front     *http1.Front
 	handler   *front.Handler
 	transport *upstream.Transport
@@ -134,6 +136,9 @@
 	t.front.Accept(t.serves && t.stage.Accepts())
 	t.peers.Speak(t.serves && t.stage.Speaks())
 	t.handler.Leave(t.stage.Closes())
+	if t.agreement != nil {
+		t.agreement.Replaced(t.stage != handover.Alone)
+	}
 }
 
 func (t *takeover) set(f func()) {
--- /dev/null
+++ b/internal/control/door.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+const (
+	doorLimit = 1 << 20 // bytes of an ask
+	doorWait  = 10 * time.Second
+)
+
+// door serves operators on this machine, at a Unix socket that only the node's user can open.
+func (n *Control) door() {
+	l, err := listenDoor(n.c.Socket, n.c.Folder)
+	if err != nil {
+		n.log.Error("fleet: operators can't ask this node", "socket", n.c.Socket, "err", err)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /entry", func(w http.ResponseWriter, r *http.Request) {
+		e := &fleetpb.Entry{}
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, doorLimit))
+		if err == nil {
+			err = protojson.Unmarshal(raw, e)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), doorWait)
+		defer cancel()
+		result, err := n.Ask(ctx, e)
+		reply(w, result, err)
+	})
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), doorWait)
+		defer cancel()
+		state, err := n.State(ctx)
+		reply(w, state, err)
+	})
+	mux.HandleFunc("GET /here", func(w http.ResponseWriter, r *http.Request) {
+		json.NewEncoder(w).Encode(n.Here())
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: doorWait, WriteTimeout: 2 * doorWait, IdleTimeout: time.Minute}
+	stop := context.AfterFunc(n.ctx, func() { srv.Close() })
+	defer stop()
+	srv.Serve(l)
+}
+
+// listenDoor makes the socket where nobody else can come, and moves it to its place once it is closed to others.
+func listenDoor(path, folder string) (net.Listener, error) {
+	hidden := filepath.Join(folder, "door")
+	os.Remove(hidden)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: hidden, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false)
+	err = os.Chmod(hidden, 0o600)
+	if err == nil {
+		err = os.Rename(hidden, path)
+	}
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func reply(w http.ResponseWriter, m proto.Message, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	raw, err := protojson.Marshal(m)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Write(raw)
+}
+
+// Here is this node's own view of the agreement, which needs nobody else.
+type Here struct {
+	Node    string            `json:"node"`
+	Session uint64            `json:"session"` // epoch; 0: none
+	Version uint64            `json:"version"` // of what it follows
+	Out     map[string]uint64 `json:"out"`
+	Voter   string            `json:"voter,omitempty"` // leads, follows, waits, stopped; empty: it is none
+	Term    uint64            `json:"term,omitempty"`
+	Leader  string            `json:"leader,omitempty"`
+	Why     string            `json:"why,omitempty"` // of a voter that has stopped
+}
+
+// Here tells it.
+func (n *Control) Here() Here {
+	n.mu.Lock()
+	h := Here{Node: n.c.Name, Session: n.epoch, Version: n.held.Version, Out: n.held.Out}
+	n.mu.Unlock()
+	if n.voter == nil {
+		return h
+	}
+	m := n.voter.current()
+	if m == nil {
+		h.Voter = "waits"
+		return h
+	}
+	if err := m.Err(); err != nil {
+		h.Voter, h.Why = "stopped", err.Error()
+		return h
+	}
+	s := m.Status()
+	h.Term, h.Voter = s.Term, "follows"
+	if s.Leads {
+		h.Voter = "leads"
+	}
+	for _, o := range n.c.Voters {
+		if voterID(o.Name) == s.Leader {
+			h.Leader = o.Name
+		}
+	}
+	return h
+}
+
+// Door is the operators' side of a node's socket.
+type Door struct{ client *http.Client }
+
+// Knock makes the way to a socket. Nothing is opened yet.
+func Knock(socket string) *Door {
+	return &Door{&http.Client{Timeout: doorWait + time.Second, Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", socket)
+		}}}}
+}
+
+// ErrDoor tells that the node did not answer, or could not reach the agreement. An ask may have taken effect: ask again with its number.
+var ErrDoor = errors.New("no answer from the agreement")
+
+func (d *Door) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://node"+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDoor, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrDoor, err)
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return nil, fmt.Errorf("%w: %s", ErrDoor, bytes.TrimSpace(raw))
+	case resp.StatusCode != http.StatusOK:
+		return nil, errors.New(string(bytes.TrimSpace(raw)))
+	}
+	return raw, nil
+}
+
+// Ask hands in an entry. It asks again where that is safe: where the entry has a number.
+func (d *Door) Ask(ctx context.Context, e *fleetpb.Entry) (*fleetpb.Result, error) {
+	body, err := protojson.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		raw, err := d.call(ctx, http.MethodPost, "/entry", body)
+		if err == nil {
+			r := &fleetpb.Result{}
+			return r, protojson.Unmarshal(raw, r)
+		}
+		if !errors.Is(err, ErrDoor) || e.Ask == "" {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(againAfter):
+		}
+	}
+}
+
+// State gives what is agreed.
+func (d *Door) State(ctx context.Context) (*fleetpb.State, error) {
+	raw, err := d.call(ctx, http.MethodGet, "/state", nil)
+	if err != nil {
+		return nil, err
+	}
+	s := &fleetpb.State{}
+	return s, protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(raw, s)
+}
+
+// Here gives the node's own view.
+func (d *Door) Here(ctx context.Context) (h Here, err error) {
+	raw, err := d.call(ctx, http.MethodGet, "/here", nil)
+	if err == nil {
+		err = json.Unmarshal(raw, &h)
+	}
+	return h, err
+}
--- /dev/null
+++ b/internal/control/voter.go
@@ -0,0 +1,549 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"starlingvalve/internal/agree"
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/fleetpb"
+	"starlingvalve/internal/link"
+)
+
+// Kinds of calls and messages between nodes.
+const (
+	kindRaft     = iota + 1 // message: of raft
+	kindFounding            // call: which log is this voter part of
+	kindEntry               // call, to the leader: an Entry; answered by its Result
+	kindOrders              // call: what is there to follow behind a version; answered by Orders, perhaps after a while
+	kindState               // call, to the leader: the whole State
+)
+
+// Statuses of answers.
+const (
+	statusOK        = iota
+	statusNotLeader // the answer is the leader's name, if it is known
+	statusUnknown   // it may take effect yet
+	statusBad       // the answer says why
+)
+
+const (
+	foundingEvery = 500 * time.Millisecond
+	foundingWait  = time.Second // for one voter's word
+	ordersHold    = time.Second // a call for orders is answered by then, news or not
+	entryWait     = 2 * time.Second
+	clockEvery    = time.Second // while somebody waits in the queue
+	listedEvery   = 500 * time.Millisecond
+	listedMost    = 500 // servers told in one entry
+)
+
+// voter holds the log, once it knows which.
+type voter struct {
+	c       *Config
+	calls   *link.Calls
+	listed  func() []*fleetpb.Server // what this node's registry says; nil: not known
+	log     *slog.Logger
+	machine *fleet.Machine // the member's goroutine has it
+
+	mu       sync.Mutex
+	disk     *agree.Bolt
+	founding string
+	birth    string
+	member   *agree.Member // nil until the voters have found each other
+	changed  chan struct{} // closed at the next news
+	heard    map[string]time.Time
+	lapsing  map[string]uint64 // sessions whose end is on its way
+
+	orders atomic.Pointer[orders]
+}
+
+type orders struct {
+	version uint64
+	raw     []byte
+}
+
+// voterID is raft's number of a voter.
+func voterID(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return max(1, h.Sum64())
+}
+
+func newVoter(c *Config, listed func() []*fleetpb.Server, log *slog.Logger) (*voter, error) {
+	disk, err := agree.OpenBolt(filepath.Join(c.Folder, "log.db"))
+	if err != nil {
+		return nil, err
+	}
+	v := &voter{c: c, listed: listed, log: log, machine: fleet.New(), disk: disk, changed: make(chan struct{}), heard: map[string]time.Time{}, lapsing: map[string]uint64{}}
+	v.birth, v.founding = disk.Birth()
+	return v, nil
+}
+
+// run finds the other voters, then takes part until ctx ends or the disk fails.
+func (v *voter) run(ctx context.Context) {
+	defer v.disk.Close()
+	if !v.found(ctx) {
+		return
+	}
+	var ids []uint64
+	for _, o := range v.c.Voters {
+		ids = append(ids, voterID(o.Name))
+	}
+	core, err := agree.NewCore(agree.Options{ID: voterID(v.c.Name), Voters: ids, Disk: v.disk, Machine: machine{v.machine}, Log: v.log})
+	if err != nil {
+		v.log.Error("fleet: this voter's log can't be used; the node serves on without a vote", "folder", v.c.Folder, "err", err)
+		return
+	}
+	m := agree.NewMember(core, v.c.Tick, v.send, v.news)
+	v.mu.Lock()
+	v.member = m
+	v.mu.Unlock()
+	var work sync.WaitGroup
+	work.Go(func() { v.duties(ctx, m) })
+	if err := m.Run(ctx); !errors.Is(err, agree.ErrStopped) {
+		v.log.Error("fleet: this voter has stopped; the node serves on without a vote", "err", err)
+	}
+	work.Wait()
+}
+
+// machine is the state machine as the log knows it.
+type machine struct{ *fleet.Machine }
+
+func (m machine) Apply(entry []byte) any { return m.Machine.Apply(entry) }
+
+type foundingWord struct{ Birth, Founding string }
+
+// found makes sure which log this voter is part of. A voter whose disk is empty takes part only if all voters named began with it:
+// else its disk was lost, and with it its votes.
+func (v *voter) found(ctx context.Context) bool {
+	if v.founding != "" {
+		return true
+	}
+	told := ""
+	tell := func(format string, args ...any) {
+		if text := fmt.Sprintf(format, args...); text != told {
+			told = text
+			v.log.Warn("fleet: this voter does not vote yet: " + text)
+		}
+	}
+	for {
+		births, missing, other := []string{v.c.Name + "=" + v.birth}, []string{}, map[string]string{}
+		for _, o := range v.c.Voters {
+			if o.Name == v.c.Name {
+				continue
+			}
+			w, err := v.askFounding(ctx, o)
+			if err != nil {
+				missing = append(missing, o.Name)
+				continue
+			}
+			births = append(births, o.Name+"="+w.Birth)
+			if w.Founding != "" {
+				other[o.Name] = w.Founding
+			}
+		}
+		slices.Sort(births)
+		sum := sha256.Sum256([]byte(strings.Join(births, " ")))
+		founding, clash := hex.EncodeToString(sum[:8]), ""
+		for name, f := range other {
+			if f != founding {
+				clash = name
+			}
+		}
+		switch {
+		case len(missing) > 0:
+			tell("its disk is empty, and not heard are %s: the first start wants all voters", strings.Join(missing, ", "))
+		case clash != "":
+			tell("its disk is empty, but %s has a log already that did not begin with this disk. If this voter's disk was lost, "+
+				"bring the disk back, or see \"A voter's disk is lost\" in docs/operate/fleet-control.md; nothing that was granted is forgotten meanwhile", clash)
+		default:
+			if err := v.disk.Found(founding); err != nil {
+				tell("%v", err)
+				break
+			}
+			v.mu.Lock()
+			v.founding = founding
+			v.mu.Unlock()
+			v.log.Info("fleet: the voters have found each other", "log", founding)
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(foundingEvery):
+		}
+	}
+}
+
+func (v *voter) askFounding(ctx context.Context, o Voter) (w foundingWord, err error) {
+	ctx, cancel := context.WithTimeout(ctx, foundingWait)
+	defer cancel()
+	_, raw, err := v.calls.Call(ctx, v.c.full(o.Name), o.Address, kindFounding, nil)
+	if err == nil {
+		err = json.Unmarshal(raw, &w)
+	}
+	return w, err
+}
+
+// send is the member's way to other voters.
+func (v *voter) send(m *raftpb.Message) {
+	for _, o := range v.c.Voters {
+		if voterID(o.Name) != m.GetTo() {
+			continue
+		}
+		raw, err := proto.Marshal(m)
+		if err != nil {
+			return
+		}
+		snap := m.GetType() == raftpb.MsgSnap
+		v.calls.Post(o.Address, kindRaft, raw, func(err error) {
+			if snap {
+				v.member.SnapshotSent(m.GetTo(), err == nil)
+			}
+			if err != nil {
+				v.member.Unreachable(m.GetTo())
+			}
+		})
+	}
+}
+
+// leave hands the leadership over before this voter goes.
+func (v *voter) leave(within time.Duration) {
+	m := v.current()
+	if m == nil {
+		return
+	}
+	for end := time.Now().Add(within); m.Status().Leads && time.Now().Before(end); time.Sleep(v.c.Tick / 4) {
+		for _, o := range v.c.Voters {
+			if o.Name != v.c.Name && v.calls.Up(o.Address) {
+				m.Transfer(voterID(o.Name))
+				break
+			}
+		}
+	}
+}
+
+// posted takes a voter's message. Only who is named in the file, and shows it by certificate, speaks for a voter.
+func (v *voter) posted(from string, kind uint64, raw []byte) {
+	m := v.current()
+	if m == nil || kind != kindRaft {
+		return
+	}
+	message := &raftpb.Message{}
+	if proto.Unmarshal(raw, message) != nil || message.GetFrom() != voterID(v.c.short(from)) || !v.voter(v.c.short(from)) {
+		return
+	}
+	m.Step(message)
+}
+
+func (v *voter) voter(name string) bool {
+	return slices.ContainsFunc(v.c.Voters, func(o Voter) bool { return o.Name == name })
+}
+
+func (v *voter) current() *agree.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.member
+}
+
+// news is told by the member's goroutine, which has the machine.
+func (v *voter) news() {
+	o := v.machine.Orders()
+	o.Log = v.founding
+	if was := v.orders.Load(); was == nil || was.version != o.Version {
+		raw, err := proto.Marshal(o)
+		if err != nil {
+			return
+		}
+		v.orders.Store(&orders{o.Version, raw})
+		v.mu.Lock()
+		close(v.changed)
+		v.changed = make(chan struct{})
+		v.mu.Unlock()
+	}
+}
+
+// handle answers a call of another node, or of this one.
+func (v *voter) handle(ctx context.Context, from string, kind uint64, raw []byte) (uint64, []byte) {
+	if kind == kindFounding {
+		v.mu.Lock()
+		w := foundingWord{v.birth, v.founding}
+		v.mu.Unlock()
+		out, _ := json.Marshal(w)
+		return statusOK, out
+	}
+	m := v.current()
+	if m == nil {
+		return statusNotLeader, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, entryWait)
+	defer cancel()
+	switch kind {
+	case kindEntry:
+		e := &fleetpb.Entry{}
+		if err := proto.Unmarshal(raw, e); err != nil {
+			return statusBad, []byte(err.Error())
+		}
+		if err := mayAsk(v.c.short(from), e); err != nil {
+			return statusBad, []byte(err.Error())
+		}
+		if o := e.GetOpen(); o != nil {
+			return v.answer(v.keepAlive(ctx, m, e, o))
+		}
+		return v.answer(v.propose(ctx, m, e))
+	case kindOrders:
+		e := &fleetpb.Orders{}
+		if err := proto.Unmarshal(raw, e); err != nil {
+			return statusBad, []byte(err.Error())
+		}
+		return statusOK, v.ordersBehind(ctx, e.Version)
+	case kindState:
+		if err := m.Lead(ctx); err != nil {
+			return v.answer(nil, err)
+		}
+		state, err := agree.View(ctx, m, v.machine.Snapshot)
+		if err != nil {
+			return v.answer(nil, err)
+		}
+		return statusOK, state
+	}
+	return statusBad, []byte("unknown kind of call")
+}
+
+// mayAsk tells whether a node may say so: of itself only what it is.
+func mayAsk(from string, e *fleetpb.Entry) error {
+	own := func(name string) error {
+		if name != from {
+			return fmt.Errorf("%s speaks for %s", from, name)
+		}
+		return nil
+	}
+	switch w := e.What.(type) {
+	case *fleetpb.Entry_Open:
+		return own(w.Open.Node)
+	case *fleetpb.Entry_End:
+		if w.End.Lapsed {
+			return errors.New("only the leader says that a session lapsed")
+		}
+		return own(w.End.Node)
+	case *fleetpb.Entry_Leaving:
+		return own(w.Leaving.Node)
+	case *fleetpb.Entry_Stopped:
+		for _, a := range w.Stopped.Acks {
+			if err := own(a.Node); err != nil {
+				return err
+			}
+		}
+		return nil
+	case *fleetpb.Entry_Budgets, *fleetpb.Entry_Drain, *fleetpb.Entry_Return, *fleetpb.Entry_Withdraw, *fleetpb.Entry_Forget:
+		return nil
+	}
+	return errors.New("no word that a node may say")
+}
+
+func (v *voter) answer(r *fleetpb.Result, err error) (uint64, []byte) {
+	switch {
+	case errors.Is(err, agree.ErrNotLeader):
+		name := ""
+		if m := v.current(); m != nil {
+			leader := m.Status().Leader
+			for _, o := range v.c.Voters {
+				if voterID(o.Name) == leader {
+					name = o.Name
+				}
+			}
+		}
+		return statusNotLeader, []byte(name)
+	case err != nil:
+		return statusUnknown, []byte(err.Error())
+	}
+	raw, err := proto.Marshal(r)
+	if err != nil {
+		return statusUnknown, []byte(err.Error())
+	}
+	return statusOK, raw
+}
+
+// propose appends an entry, stamped with this leader's clock.
+func (v *voter) propose(ctx context.Context, m *agree.Member, e *fleetpb.Entry) (*fleetpb.Result, error) {
+	e.AtMs, e.Level = time.Now().UnixMilli(), 1
+	raw, err := proto.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	r, err := m.Propose(ctx, raw)
+	if err != nil {
+		return nil, err
+	}
+	return r.(*fleetpb.Result), nil
+}
+
+// keepAlive opens a node's session, or notes that it was heard, which costs no entry. Either way this voter has been the leader
+// since the node asked: another one, that may let the session lapse, counts from later.
+func (v *voter) keepAlive(ctx context.Context, m *agree.Member, e *fleetpb.Entry, o *fleetpb.OpenSession) (*fleetpb.Result, error) {
+	if err := m.Lead(ctx); err != nil {
+		return nil, err
+	}
+	epoch, err := agree.View(ctx, m, func() (uint64, error) {
+		if n := v.machine.State().Nodes[o.Node]; n != nil && n.State == fleet.Live && n.Process == o.Process {
+			return n.Epoch, nil
+		}
+		return 0, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if epoch == 0 {
+		r, err := v.propose(ctx, m, e)
+		if err != nil || r.Code != fleetpb.Result_DONE {
+			return r, err
+		}
+		epoch = r.Epoch
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.lapsing[o.Node] == epoch {
+		return &fleetpb.Result{Code: fleetpb.Result_FENCED, Reason: "the session has lapsed"}, nil
+	}
+	v.heard[o.Node] = time.Now()
+	return &fleetpb.Result{Code: fleetpb.Result_DONE, Epoch: epoch}, nil
+}
+
+// ordersBehind waits a while for orders of a later version than one that is known.
+func (v *voter) ordersBehind(ctx context.Context, known uint64) []byte {
+	ctx, cancel := context.WithTimeout(ctx, ordersHold)
+	defer cancel()
+	for {
+		v.mu.Lock()
+		changed := v.changed
+		v.mu.Unlock()
+		if o := v.orders.Load(); o != nil && o.version > known {
+			return o.raw
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// duties are the leader's: it lets sessions lapse, tells the log what the registry says, and has time pass for those who wait.
+func (v *voter) duties(ctx context.Context, m *agree.Member) {
+	tick := time.NewTicker(v.c.Tick)
+	defer tick.Stop()
+	term, clock, looked := uint64(0), time.Now(), time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := m.Status()
+		if !s.Leads {
+			term = 0
+			continue
+		}
+		if s.Term != term { // whoever led before may have heard them just now
+			if m.Lead(ctx) != nil {
+				continue
+			}
+			term = s.Term
+			v.mu.Lock()
+			clear(v.heard)
+			clear(v.lapsing)
+			v.mu.Unlock()
+			v.log.Info("fleet: this voter leads", "term", term)
+		}
+		var list []*fleetpb.Server
+		if time.Since(looked) >= listedEvery {
+			looked, list = time.Now(), v.listed()
+		}
+		d, err := agree.View(ctx, m, func() (d due, err error) { return v.due(time.Now(), list), nil })
+		if err != nil {
+			continue
+		}
+		if d.waits && time.Since(clock) >= clockEvery {
+			clock = time.Now()
+			d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Clock{Clock: &fleetpb.Clock{}}})
+		}
+		for _, e := range d.entries {
+			ctx, cancel := context.WithTimeout(ctx, entryWait)
+			r, err := v.propose(ctx, m, e)
+			cancel()
+			if err != nil || r.Code != fleetpb.Result_DONE {
+				v.log.Warn("fleet: the leader's own entry", "result", r, "err", err)
+				break
+			}
+		}
+	}
+}
+
+type due struct {
+	entries []*fleetpb.Entry
+	waits   bool // somebody is in the queue
+}
+
+// due is what the leader has to say now. The member's goroutine calls it.
+func (v *voter) due(now time.Time, list []*fleetpb.Server) (d due) {
+	s := v.machine.State()
+	d.waits = len(s.Queue) > 0
+	if !s.BudgetsSet {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Budgets{Budgets: &fleetpb.SetBudgets{Budgets: v.c.Budgets, By: v.c.Name}}})
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, n := range s.Nodes {
+		if n.State != fleet.Live || v.lapsing[name] == n.Epoch {
+			continue
+		}
+		at, ok := v.heard[name]
+		if !ok {
+			v.heard[name] = now
+		} else if now.Sub(at) > v.c.Life {
+			v.lapsing[name] = n.Epoch
+			d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_End{End: &fleetpb.EndSession{Node: name, Epoch: n.Epoch, Lapsed: true}}})
+		}
+	}
+	if news := difference(s.Servers, list); len(news) > 0 {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Listed{Listed: &fleetpb.Listed{Servers: news[:min(len(news), listedMost)]}}})
+	}
+	return d
+}
+
+// difference is what a list says otherwise than the state. A list that is not known, nil, says nothing.
+func difference(known map[string]*fleetpb.Server, list []*fleetpb.Server) (news []*fleetpb.Server) {
+	if list == nil {
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, s := range list {
+		seen[s.Id] = true
+		k := known[s.Id]
+		if k == nil || k.State != s.State || k.Zone != s.Zone || k.Kind != s.Kind || k.Cell != s.Cell || k.Weight != s.Weight {
+			news = append(news, s)
+		}
+	}
+	for id, k := range known {
+		if !seen[id] && k.State != fleet.Gone {
+			news = append(news, &fleetpb.Server{Id: id, State: fleet.Gone})
+		}
+	}
+	slices.SortFunc(news, func(a, b *fleetpb.Server) int { return strings.Compare(a.Id, b.Id) })
+	return news
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	begun    time.Time // its goroutine ran
 	cancel   context.CancelFunc
 	neverRan bool // and has ended
+	server   decide.ServerID
+	ended    bool
 }
 
 // loop owns the module: all that happens is put into words for it here, one thing at a time, and what it wants
@@ -60,8 +63,9 @@
 	timers    timerHeap
 	queue     []decide.Event
 	handling  bool
-	listed    map[decide.ServerID]Entry // but for those that are gone
-	ready     int                       // of them
+	listed    map[decide.ServerID]Entry // but for those that are gone; as membership tells them
+	held      map[decide.ServerID]bool  // drained all the same
+	ready     int                       // of the listed ones, those that are in force as ready
 	version   *uint64                   // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
@@ -359,7 +363,7 @@
 	}
 	now := time.Now()
 	ctx, cancel := context.WithCancel(l.ctx)
-	t := &attempt{sent: now, cancel: cancel}
+	t := &attempt{sent: now, cancel: cancel, server: a.Server}
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, t)
 	r.out++
@@ -414,6 +418,7 @@
 	if res.Rest != nil { // the request has its answer
 		res.Code = res.Rest.Close()
 	}
+	t.ended = true
 	t.neverRan = res.Code == decide.Full || res.Code == decide.ConnectFailed || res.Code == decide.Moot
 	r.out--
 	switch {
@@ -455,6 +460,7 @@
 		Rest: &passing{Rest: res.Rest, end: func(code decide.OutcomeCode) {
 			t.cancel()
 			l.post(func() {
+				t.ended = true
 				if r.out--; r.out == 0 {
 					delete(l.requests, a.ID)
 				}
@@ -588,25 +594,38 @@
 // follow takes a list: connections first, so that nothing goes where the list says no.
 func (l *Loop) follow(n List, kind decide.ListKind) {
 	l.version = &n.Version
-	l.transport.Update(n)
 	if n.Full {
 		clear(l.listed)
 		l.ready = 0
 	}
-	e := decide.ListUpdate{Kind: kind, Version: n.Version}
 	for _, s := range n.Entries {
-		if was, ok := l.listed[s.ID]; ok && was.State == decide.Ready {
+		if was, ok := l.listed[s.ID]; ok && l.effective(was).State == decide.Ready {
 			l.ready--
 		}
 		delete(l.listed, s.ID)
 		if s.State != decide.Gone {
 			l.listed[s.ID] = s
 		}
-		if s.State == decide.Ready {
+		if l.effective(s).State == decide.Ready {
 			l.ready++
 		}
-		e.Entries = append(e.Entries, s.Server)
 	}
+	l.take(n, kind)
+}
+
+// take puts a list, or a part of it, in force.
+func (l *Loop) take(n List, kind decide.ListKind) {
+	e := decide.ListUpdate{Kind: kind, Version: n.Version}
+	if len(l.held) > 0 {
+		n.Entries = slices.Clone(n.Entries)
+	}
+	for i := range n.Entries {
+		if len(l.held) > 0 {
+			n.Entries[i] = l.effective(n.Entries[i])
+		}
+		e.Entries = append(e.Entries, n.Entries[i].Server)
+	}
+	l.transport.Update(n)
 	l.able.Store(l.ready > 0)
 	l.handle(e)
 	l.publish()
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -102,6 +102,7 @@
 // Entry is a server of a List.
 type Entry struct {
 	decide.Server
+	Name string `json:",omitempty"` // as membership has it
 	Addr string // IP:port
 }
 
--- /dev/null
+++ b/internal/fleet/budget.go
@@ -0,0 +1,211 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// CheckBudgets tells what is wrong with budgets: the index of the first bad one, its field and the reason.
+func CheckBudgets(list []*fleetpb.Budget) (index int, field string, err error) {
+	if len(list) > mostBudgets {
+		return mostBudgets, "name", fmt.Errorf("%d budgets, %d at most", len(list), mostBudgets)
+	}
+	seen := map[string]bool{}
+	for i, b := range list {
+		part := func(v float64) bool { return v >= 0 && v <= 1 }
+		switch {
+		case b.Name == "" || len(b.Name) > mostText || seen[b.Name]:
+			return i, "name", fmt.Errorf("want a name of its own, have %.50q", b.Name)
+		case b.On != "servers" && b.On != "nodes":
+			return i, "on", fmt.Errorf("want servers or nodes, have %.50q", b.On)
+		case !slices.Contains([]string{"fleet", "zone", "kind", "cell"}, b.By) || b.On == "nodes" && b.By != "fleet" && b.By != "zone":
+			return i, "by", fmt.Errorf("want fleet or zone, or of servers kind or cell, have %.50q", b.By)
+		case !part(b.MostShare):
+			return i, "most_share", fmt.Errorf("want 0 to 1, have %v", b.MostShare)
+		case !part(b.LeastLeft):
+			return i, "least_left", fmt.Errorf("want 0 to 1, have %v", b.LeastLeft)
+		case !b.Bounded && b.MostShare == 0 && b.LeastLeft == 0:
+			return i, "most_out", fmt.Errorf("want most_out, most_share or least_left: this budget bounds nothing")
+		}
+		seen[b.Name] = true
+	}
+	return -1, "", nil
+}
+
+func (m *Machine) setBudgets(s *fleetpb.SetBudgets) *fleetpb.Result {
+	if i, field, err := CheckBudgets(s.Budgets); err != nil {
+		return invalid("budget %d: %s: %v", i, field, err)
+	}
+	m.s.Budgets, m.s.BudgetsSet = s.Budgets, true
+	m.log(s.By, "%d budgets set", len(s.Budgets))
+	return done(m.next())
+}
+
+// member is a server or a node as budgets see it.
+type member struct {
+	name   string
+	weight float64
+	out    string // why; empty: it is in
+}
+
+// Group is one group of a budget, with what is out of it.
+type Group struct {
+	Budget  *fleetpb.Budget
+	Name    string // "fleet", or the zone, kind or cell
+	Members int
+	Out     []string // "s-1 (drained)", in the order of names
+	Weight  float64
+	Left    float64 // of the weight
+}
+
+// why a server is out, for whatever reason; empty: it is in.
+func (m *Machine) outWhy(id string) string {
+	if m.s.Outs[ServerTarget(id)] != nil {
+		return "drained"
+	}
+	switch s := m.s.Servers[id]; s.State {
+	case Draining:
+		return "draining in the registry"
+	case Gone:
+		return "gone from the registry"
+	}
+	return ""
+}
+
+func groupOf(b *fleetpb.Budget, zone, kind string, cell int32) string {
+	switch b.By {
+	case "zone":
+		return "zone " + zone
+	case "kind":
+		return "kind " + kind
+	case "cell":
+		return fmt.Sprintf("cell %d", cell)
+	}
+	return "fleet"
+}
+
+// groups gives the members of each group of a budget. also is counted as out.
+func (m *Machine) groups(b *fleetpb.Budget, also []string) map[string][]member {
+	g := map[string][]member{}
+	add := func(group string, n member) {
+		if b.Only == "" || group == b.By+" "+b.Only {
+			g[group] = append(g[group], n)
+		}
+	}
+	if b.On == "nodes" {
+		for _, name := range slices.Sorted(maps.Keys(m.s.Nodes)) {
+			n := m.s.Nodes[name]
+			why := ""
+			if n.State != Live {
+				why = "session " + n.State
+			} else if n.Leaving {
+				why = "leaving"
+			}
+			add(groupOf(b, n.Zone, "", 0), member{name, 1, why})
+		}
+		return g
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.s.Servers)) {
+		s, why := m.s.Servers[id], m.outWhy(id)
+		if why == "" && slices.Contains(also, id) {
+			why = "waits before it"
+		}
+		weight := s.Weight
+		if !(weight > 0) || math.IsInf(weight, 0) {
+			weight = 1
+		}
+		add(groupOf(b, s.Zone, s.Kind, s.Cell), member{id, weight, why})
+	}
+	return g
+}
+
+func groupFrom(b *fleetpb.Budget, name string, members []member) Group {
+	g := Group{Budget: b, Name: name, Members: len(members)}
+	for _, n := range members {
+		g.Weight += n.weight
+		if n.out != "" {
+			g.Out = append(g.Out, n.name+" ("+n.out+")")
+		} else {
+			g.Left += n.weight
+		}
+	}
+	return g
+}
+
+// Groups gives all groups of all budgets, in the order of budgets and names.
+func (m *Machine) Groups() (all []Group) {
+	for _, b := range m.s.Budgets {
+		g := m.groups(b, nil)
+		for _, name := range slices.Sorted(maps.Keys(g)) {
+			all = append(all, groupFrom(b, name, g[name]))
+		}
+	}
+	return all
+}
+
+// Over tells by which bound more is out of a group than may be; empty: none.
+func (g Group) Over() string {
+	b, n := g.Budget, len(g.Out)
+	switch {
+	case b.Bounded && n > int(b.MostOut):
+		return fmt.Sprintf("%d of %d out, %d at most", n, g.Members, b.MostOut)
+	case b.MostShare > 0 && n > int(b.MostShare*float64(g.Members)+1e-9):
+		return fmt.Sprintf("%d of %d out, %d at most (%.4g of them)", n, g.Members, int(b.MostShare*float64(g.Members)+1e-9), b.MostShare)
+	case b.LeastLeft > 0 && g.Left < b.LeastLeft*g.Weight-1e-9:
+		return fmt.Sprintf("%.4g of a weight of %.4g left, %.4g at least", g.Left, g.Weight, b.LeastLeft*g.Weight)
+	}
+	return ""
+}
+
+// mayGo tells why a server may not be taken out now, with the budget's name and figures; empty: it may. Servers that others wait
+// for count as out where they share a group with it, so that nobody who comes later goes before them. One that is out anyway
+// costs nothing.
+func (m *Machine) mayGo(id string, ahead []string) string {
+	s := m.s.Servers[id]
+	if s == nil {
+		return id + " is not known"
+	}
+	if m.outWhy(id) != "" {
+		return ""
+	}
+	for _, b := range m.s.Budgets {
+		if b.On != "servers" {
+			continue
+		}
+		name := groupOf(b, s.Zone, s.Kind, s.Cell)
+		members := m.groups(b, ahead)[name]
+		if len(members) == 0 {
+			continue
+		}
+		for i := range members {
+			if members[i].name == id {
+				members[i].out = "asked for"
+			}
+		}
+		g := groupFrom(b, name, members)
+		if over := g.Over(); over != "" {
+			return fmt.Sprintf("budget %s, %s: %s: %s", b.Name, name, over, strings.Join(g.Out, ", "))
+		}
+	}
+	return ""
+}
+
+// Explain tells, without doing it, what would become of a drain now.
+func (m *Machine) Explain(d *fleetpb.Drain) *fleetpb.Result {
+	raw, err := m.Snapshot()
+	if err != nil {
+		return invalid("%v", err)
+	}
+	trial := New()
+	if err := trial.Restore(raw); err != nil {
+		return invalid("%v", err)
+	}
+	return trial.drain(proto.CloneOf(d), "")
+}
--- /dev/null
+++ b/internal/fleet/drain.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// drain grants a drain, has it wait, or refuses it.
+func (m *Machine) drain(d *fleetpb.Drain, ask string) *fleetpb.Result {
+	if err := text(d.Target, d.By, d.Why); err != nil {
+		return invalid("drain: %v", err)
+	}
+	if o := m.s.Outs[d.Target]; o != nil {
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Epoch: o.Epoch, Reason: fmt.Sprintf("%s is drained already, by %s", d.Target, o.By)}
+	}
+	if m.queued(d.Target) >= 0 {
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: d.Target + " waits already"}
+	}
+	id, ok := strings.CutPrefix(d.Target, "server/")
+	if !ok || m.s.Servers[id] == nil {
+		return invalid("drain: no such server in the registry's list: %s", d.Target)
+	}
+	if d.Force {
+		o := m.grant(d)
+		m.log(d.By, "drain of %s FORCED past the budgets, epoch %d: %s", d.Target, o.Epoch, d.Why)
+		return done(o.Epoch)
+	}
+	why := m.mayGo(id, m.ahead(len(m.s.Queue)))
+	if why == "" {
+		o := m.grant(d)
+		m.log(d.By, "drain of %s granted, epoch %d: %s", d.Target, o.Epoch, d.Why)
+		return done(o.Epoch)
+	}
+	if d.WaitMs <= 0 {
+		m.log(d.By, "drain of %s refused: %s", d.Target, why)
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: why}
+	}
+	if len(m.s.Queue) >= mostQueue {
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: fmt.Sprintf("%d drains wait already", len(m.s.Queue))}
+	}
+	m.s.Queue = append(m.s.Queue, &fleetpb.Waiting{Drain: d, Ask: ask, AskedMs: m.s.NowMs, UntilMs: m.s.NowMs + d.WaitMs, Reason: why})
+	m.log(d.By, "drain of %s waits at place %d: %s", d.Target, len(m.s.Queue), why)
+	return &fleetpb.Result{Code: fleetpb.Result_QUEUED, Reason: why, Place: uint32(len(m.s.Queue))}
+}
+
+func (m *Machine) grant(d *fleetpb.Drain) *fleetpb.Out {
+	o := &fleetpb.Out{Target: d.Target, Epoch: m.next(), By: d.By, Why: d.Why, GrantedMs: m.s.NowMs, Forced: d.Force}
+	m.s.Outs[d.Target] = o
+	m.s.Orders++
+	return o
+}
+
+func (m *Machine) queued(target string) int {
+	return slices.IndexFunc(m.s.Queue, func(w *fleetpb.Waiting) bool { return w.Drain.Target == target })
+}
+
+// giveBack ends a drain, or the wait for one.
+func (m *Machine) giveBack(r *fleetpb.Return) *fleetpb.Result {
+	o := m.s.Outs[r.Target]
+	if o == nil {
+		return invalid("return: %s is not drained", r.Target)
+	}
+	delete(m.s.Outs, r.Target)
+	m.s.Orders++
+	m.log(r.By, "%s returned, drained at epoch %d by %s: %s", r.Target, o.Epoch, o.By, r.Why)
+	return done(m.next())
+}
+
+func (m *Machine) withdraw(w *fleetpb.Withdraw) *fleetpb.Result {
+	i := m.queued(w.Target)
+	if i < 0 {
+		return invalid("withdraw: no drain of %s waits", w.Target)
+	}
+	m.s.Queue = slices.Delete(m.s.Queue, i, i+1)
+	m.log(w.By, "drain of %s withdrawn", w.Target)
+	return done(m.s.Epoch)
+}
+
+// ahead are the servers that the first n of the queue wait for: whoever comes later may not take their room.
+func (m *Machine) ahead(n int) []string {
+	var ids []string
+	for _, w := range m.s.Queue[:n] {
+		ids = append(ids, strings.TrimPrefix(w.Drain.Target, "server/"))
+	}
+	return ids
+}
+
+// serveQueue grants what fits now, first come first, and lets go of what has waited for too long.
+func (m *Machine) serveQueue() {
+	for i := 0; i < len(m.s.Queue); {
+		w := m.s.Queue[i]
+		id := strings.TrimPrefix(w.Drain.Target, "server/")
+		why := m.mayGo(id, m.ahead(i))
+		switch {
+		case m.s.Servers[id] == nil:
+			m.log(w.Drain.By, "drain of %s dropped: the server is no more", w.Drain.Target)
+		case why == "":
+			o := m.grant(w.Drain)
+			m.log(w.Drain.By, "drain of %s granted after %d ms in the queue, epoch %d: %s", w.Drain.Target, m.s.NowMs-w.AskedMs, o.Epoch, w.Drain.Why)
+		case m.s.NowMs >= w.UntilMs:
+			m.log(w.Drain.By, "drain of %s gave up after %d ms in the queue: %s", w.Drain.Target, m.s.NowMs-w.AskedMs, why)
+		default:
+			w.Reason = why
+			i++
+			continue
+		}
+		m.s.Queue = slices.Delete(m.s.Queue, i, i+1)
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,366 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// world is a machine with short ways to say things to it.
+type world struct {
+	*Machine
+	now int64
+}
+
+func (w *world) say(ask string, what any) *fleetpb.Result {
+	e := &fleetpb.Entry{Level: 1, AtMs: w.now, Ask: ask}
+	switch x := what.(type) {
+	case *fleetpb.Drain:
+		e.What = &fleetpb.Entry_Drain{Drain: x}
+	case *fleetpb.Return:
+		e.What = &fleetpb.Entry_Return{Return: x}
+	case *fleetpb.Withdraw:
+		e.What = &fleetpb.Entry_Withdraw{Withdraw: x}
+	case *fleetpb.Listed:
+		e.What = &fleetpb.Entry_Listed{Listed: x}
+	case *fleetpb.SetBudgets:
+		e.What = &fleetpb.Entry_Budgets{Budgets: x}
+	case *fleetpb.OpenSession:
+		e.What = &fleetpb.Entry_Open{Open: x}
+	case *fleetpb.EndSession:
+		e.What = &fleetpb.Entry_End{End: x}
+	case *fleetpb.Leaving:
+		e.What = &fleetpb.Entry_Leaving{Leaving: x}
+	case *fleetpb.Ack:
+		e.What = &fleetpb.Entry_Stopped{Stopped: &fleetpb.Stopped{Acks: []*fleetpb.Ack{x}}}
+	case *fleetpb.Forget:
+		e.What = &fleetpb.Entry_Forget{Forget: x}
+	case *fleetpb.Clock:
+		e.What = &fleetpb.Entry_Clock{Clock: x}
+	}
+	raw, err := proto.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	return w.Apply(raw)
+}
+
+func (w *world) drain(id string, waitMs int64) *fleetpb.Result {
+	return w.say("", &fleetpb.Drain{Target: ServerTarget(id), By: "eva", WaitMs: waitMs})
+}
+
+func (w *world) open(node string) uint64 {
+	return w.say("", &fleetpb.OpenSession{Node: node, Zone: "a", Process: node + "-1", Level: 1}).Epoch
+}
+
+// eight servers s-0 to s-7, the even ones in zone a, the odd ones in b; weights 1 and, of s-0, 3.
+func newWorld(budgets ...*fleetpb.Budget) *world {
+	w := &world{Machine: New(), now: 1000}
+	l := &fleetpb.Listed{}
+	for i := range 8 {
+		s := &fleetpb.Server{Id: fmt.Sprintf("s-%d", i), Zone: string(rune('a' + i%2)), Kind: "std", Cell: int32(i / 2), Weight: 1, State: Ready}
+		if i == 0 {
+			s.Weight = 3
+		}
+		l.Servers = append(l.Servers, s)
+	}
+	w.say("", l)
+	w.say("", &fleetpb.SetBudgets{Budgets: budgets})
+	return w
+}
+
+func zoneBudget(most uint32) *fleetpb.Budget {
+	return &fleetpb.Budget{Name: "a-hall", On: "servers", By: "zone", Bounded: true, MostOut: most}
+}
+
+func TestBudgets(t *testing.T) {
+	list := func(id, state string) *fleetpb.Listed {
+		return &fleetpb.Listed{Servers: []*fleetpb.Server{{Id: id, Zone: "a", Kind: "std", Weight: 1, State: state}}}
+	}
+	for name, c := range map[string]struct {
+		budget *fleetpb.Budget
+		before func(w *world)
+		drain  string
+		reason string // part of the refusal; empty: it is granted
+	}{
+		"first":        {zoneBudget(1), nil, "s-0", ""},
+		"other zone":   {zoneBudget(1), func(w *world) { w.drain("s-1", 0) }, "s-0", ""},
+		"second":       {zoneBudget(1), func(w *world) { w.drain("s-2", 0) }, "s-0", "budget a-hall, zone a: 2 of 4 out, 1 at most: s-0 (asked for), s-2 (drained)"},
+		"none at all":  {zoneBudget(0), nil, "s-0", "1 of 4 out, 0 at most"},
+		"one is gone":  {zoneBudget(1), func(w *world) { w.say("", list("s-2", Gone)) }, "s-0", "s-2 (gone from the registry)"},
+		"one drains":   {zoneBudget(1), func(w *world) { w.say("", list("s-2", Draining)) }, "s-0", "s-2 (draining in the registry)"},
+		"itself gone":  {zoneBudget(0), func(w *world) { w.say("", list("s-2", Gone)) }, "s-2", ""},
+		"share":        {&fleetpb.Budget{Name: "b", On: "servers", By: "fleet", MostShare: 0.3}, func(w *world) { w.drain("s-1", 0); w.drain("s-2", 0) }, "s-3", "fleet: 3 of 8 out, 2 at most (0.3 of them)"},
+		"share fits":   {&fleetpb.Budget{Name: "b", On: "servers", By: "fleet", MostShare: 0.375}, func(w *world) { w.drain("s-1", 0); w.drain("s-2", 0) }, "s-3", ""},
+		"weight":       {&fleetpb.Budget{Name: "b", On: "servers", By: "zone", LeastLeft: 0.6}, nil, "s-0", "3 of a weight of 6 left, 3.6 at least"},
+		"weight fits":  {&fleetpb.Budget{Name: "b", On: "servers", By: "zone", LeastLeft: 0.6}, nil, "s-2", ""},
+		"cell":         {&fleetpb.Budget{Name: "b", On: "servers", By: "cell", Bounded: true, MostOut: 1}, func(w *world) { w.drain("s-2", 0) }, "s-3", "cell 1: 2 of 2 out"},
+		"only another": {&fleetpb.Budget{Name: "b", On: "servers", By: "zone", Only: "b", Bounded: true}, nil, "s-0", ""},
+		"unknown":      {zoneBudget(1), nil, "s-9", "no such server"},
+		"twice":        {zoneBudget(2), func(w *world) { w.drain("s-0", 0) }, "s-0", "drained already, by eva"},
+	} {
+		w := newWorld(c.budget)
+		if c.before != nil {
+			c.before(w)
+		}
+		dry := w.Explain(&fleetpb.Drain{Target: ServerTarget(c.drain)})
+		r := w.drain(c.drain, 0)
+		if (r.Code == fleetpb.Result_DONE) != (c.reason == "") || !strings.Contains(r.Reason, c.reason) {
+			t.Errorf("%s: %v, want %q", name, r, c.reason)
+		}
+		if dry.Code != r.Code || dry.Reason != r.Reason {
+			t.Errorf("%s: a dry run tells %v, then %v", name, dry, r)
+		}
+	}
+}
+
+// Nodes that leave, lapse and come back count in their budget.
+func TestNodesOut(t *testing.T) {
+	w := newWorld(&fleetpb.Budget{Name: "nodes", On: "nodes", By: "zone", Bounded: true, MostOut: 1})
+	epochs := map[string]uint64{}
+	for _, n := range []string{"n1", "n2", "n3"} {
+		epochs[n] = w.open(n)
+	}
+	over := func() string { return w.Groups()[0].Over() }
+	w.say("", &fleetpb.Leaving{Node: "n1", Epoch: epochs["n1"]})
+	if g := w.Groups()[0]; len(g.Out) != 1 || g.Out[0] != "n1 (leaving)" || over() != "" {
+		t.Errorf("%v", g)
+	}
+	w.say("", &fleetpb.EndSession{Node: "n2", Epoch: epochs["n2"], Lapsed: true})
+	if over() != "2 of 3 out, 1 at most" {
+		t.Errorf("%q", over())
+	}
+	w.say("", &fleetpb.OpenSession{Node: "n2", Zone: "a", Process: "n2-2", Level: 1})
+	if r := w.say("", &fleetpb.EndSession{Node: "n2", Epoch: epochs["n2"]}); r.Code != fleetpb.Result_FENCED || over() != "" {
+		t.Errorf("an old session's word: %v, %q", r, over())
+	}
+	if r := w.say("", &fleetpb.Forget{Target: "node/n3"}); r.Code != fleetpb.Result_REFUSED {
+		t.Errorf("a live node is forgotten: %v", r)
+	}
+}
+
+// A drain is proven once every node has said so in its present session, and not while one that lapsed has not.
+func TestProof(t *testing.T) {
+	w := newWorld(zoneBudget(2))
+	e1, e2, e3 := w.open("n1"), w.open("n2"), w.open("n3")
+	drain := w.drain("s-0", 0).Epoch
+	target := ServerTarget("s-0")
+	ack := func(node string, session, epoch uint64) {
+		w.say("", &fleetpb.Ack{Node: node, Session: session, Target: target, Epoch: epoch})
+	}
+	check := func(what string, proven bool, unheard, lapsed string) {
+		t.Helper()
+		p := w.Proof(target)
+		if p.Proven != proven || strings.Join(p.Unheard, " ") != unheard || strings.Join(p.Lapsed, " ") != lapsed || !p.Granted {
+			t.Errorf("%s: %+v", what, p)
+		}
+	}
+	check("granted", false, "n1 n2 n3", "")
+	ack("n1", e1, drain)
+	ack("n2", e1, drain)
+	ack("n2", e2, drain-1)
+	check("n2 spoke of another drain, and in another's session", false, "n2 n3", "")
+	ack("n2", e2, drain)
+	w.say("", &fleetpb.EndSession{Node: "n3", Epoch: e3, Lapsed: true})
+	check("n3 lapsed", false, "", "n3")
+	if w.State().Outs[target].ProvenMs != 0 {
+		t.Error("noted as proven")
+	}
+	e3 = w.say("", &fleetpb.OpenSession{Node: "n3", Zone: "a", Process: "n3-2", Level: 1}).Epoch
+	check("n3 is back", false, "n3", "")
+	ack("n3", e3, drain)
+	check("all", true, "", "")
+	w.open("n4")
+	check("a node has come", false, "n4", "")
+	w.say("", &fleetpb.EndSession{Node: "n4", Epoch: w.State().Nodes["n4"].Epoch})
+	check("it has ended in order", true, "", "")
+	w.say("", &fleetpb.Return{Target: target})
+	again := w.drain("s-0", 0)
+	check("drained once more", false, "n1 n2 n3", "")
+	ack("n1", e1, drain)
+	if again.Epoch <= drain {
+		t.Errorf("epoch %d after %d", again.Epoch, drain)
+	}
+	check("a word of the first drain comes late", false, "n1 n2 n3", "")
+}
+
+// Who waits is served in order, told its place, and given up in time; who comes later takes nobody's room.
+func TestQueue(t *testing.T) {
+	w := newWorld(zoneBudget(1), &fleetpb.Budget{Name: "all", On: "servers", By: "fleet", Bounded: true, MostOut: 2})
+	w.drain("s-0", 0)
+	if r := w.drain("s-2", 5000); r.Code != fleetpb.Result_QUEUED || r.Place != 1 {
+		t.Fatal(r)
+	}
+	if r := w.drain("s-4", 60_000); r.Place != 2 {
+		t.Fatal(r)
+	}
+	if r := w.drain("s-1", 0); r.Code != fleetpb.Result_REFUSED || !strings.Contains(r.Reason, "s-2 (waits before it)") {
+		t.Errorf("somebody who came later took the room of the fleet's budget: %v", r)
+	}
+	w.say("", &fleetpb.Return{Target: ServerTarget("s-0")})
+	if w.State().Outs[ServerTarget("s-2")] == nil || len(w.State().Queue) != 1 {
+		t.Error("the first in the queue was not served")
+	}
+	if r := w.say("", &fleetpb.Withdraw{Target: ServerTarget("s-4")}); r.Code != fleetpb.Result_DONE || len(w.State().Queue) != 0 {
+		t.Error("not withdrawn", r)
+	}
+	r := w.say("late", &fleetpb.Drain{Target: ServerTarget("s-6"), WaitMs: 1000})
+	w.now += 1000
+	w.say("", &fleetpb.Clock{})
+	if r.Code != fleetpb.Result_QUEUED || len(w.State().Queue) != 0 {
+		t.Error("it waits on", r)
+	}
+	if r := w.say("late", &fleetpb.Drain{Target: ServerTarget("s-6"), WaitMs: 1000}); r.Code != fleetpb.Result_REFUSED {
+		t.Errorf("asked again after it gave up: %v", r)
+	}
+}
+
+// An ask that comes again, as its answer was lost, has no second effect and the same answer.
+func TestAskedAgain(t *testing.T) {
+	w := newWorld(zoneBudget(1))
+	first := w.say("x", &fleetpb.Drain{Target: ServerTarget("s-0")})
+	if r := w.say("x", &fleetpb.Drain{Target: ServerTarget("s-0")}); !proto.Equal(r, first) || r.Code != fleetpb.Result_DONE {
+		t.Errorf("%v, then %v", first, r)
+	}
+	w.say("y", &fleetpb.Return{Target: ServerTarget("s-0")})
+	if r := w.say("x", &fleetpb.Drain{Target: ServerTarget("s-0")}); r.Epoch != first.Epoch || len(w.State().Outs) != 0 {
+		t.Errorf("a late copy drained it again: %v", r)
+	}
+	for i := range mostAnswered + 5 {
+		w.say(fmt.Sprint(i), &fleetpb.Withdraw{Target: "server/none"})
+	}
+	if len(w.State().Answered) != mostAnswered || len(w.State().History) > mostHistory {
+		t.Errorf("%d answers, %d events kept", len(w.State().Answered), len(w.State().History))
+	}
+}
+
+// What is not understood changes nothing, and a later level's snapshot is not taken.
+func TestNotUnderstood(t *testing.T) {
+	w := newWorld(zoneBudget(1))
+	was, _ := w.Snapshot()
+	later, _ := proto.Marshal(&fleetpb.Entry{Level: Level + 1, AtMs: 9e9, What: &fleetpb.Entry_Drain{Drain: &fleetpb.Drain{Target: ServerTarget("s-0")}}})
+	empty, _ := proto.Marshal(&fleetpb.Entry{Level: 1})
+	for _, raw := range [][]byte{later, empty, {0xff, 0xff}} {
+		if r := w.Apply(raw); r.Code != fleetpb.Result_INVALID {
+			t.Errorf("%x: %v", raw, r)
+		}
+	}
+	if now, _ := w.Snapshot(); !bytes.Equal(was, now) {
+		t.Error("the state has changed")
+	}
+	raw, _ := proto.Marshal(&fleetpb.State{Level: Level + 1})
+	if err := New().Restore(raw); err == nil {
+		t.Error("a later level's snapshot is taken")
+	}
+	w.say("", &fleetpb.OpenSession{Node: "old", Process: "p", Level: 0})
+	if w.LeastLevel() != 0 {
+		t.Error("an older member does not count")
+	}
+}
+
+// Whatever comes, two machines that are fed the same have the same state, also through a snapshot; no grant leaves more out than a
+// budget allows, but for what goes by itself or is forced; epochs only rise.
+func TestMachineHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(zoneBudget(2), &fleetpb.Budget{Name: "all", On: "servers", By: "fleet", MostShare: 0.4, LeastLeft: 0.5})
+		twin := newWorld(w.State().Budgets...)
+		epoch := w.State().Epoch
+		server := rapid.SampledFrom([]string{"s-0", "s-1", "s-2", "s-3", "s-4", "s-5", "s-6", "s-7", "s-8"})
+		node := rapid.SampledFrom([]string{"n1", "n2", "n3"})
+		for range rapid.IntRange(1, 60).Draw(t, "entries") {
+			w.now += rapid.Int64Range(-500, 5000).Draw(t, "passed")
+			twin.now = w.now
+			target := ServerTarget(server.Draw(t, "server"))
+			unplanned := false
+			var what any
+			switch rapid.IntRange(0, 8).Draw(t, "kind") {
+			case 0, 1:
+				what = &fleetpb.Drain{Target: target, WaitMs: rapid.Int64Range(0, 8000).Draw(t, "wait")}
+			case 2:
+				what = &fleetpb.Return{Target: target}
+			case 3:
+				what, unplanned = &fleetpb.Listed{Servers: []*fleetpb.Server{{Id: target[len("server/"):], Zone: "a", Weight: 1,
+					State: rapid.SampledFrom([]string{Ready, Draining, Gone, "odd"}).Draw(t, "state")}}}, true
+			case 4:
+				what = &fleetpb.OpenSession{Node: node.Draw(t, "node"), Process: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "process"), Level: 1}
+			case 5:
+				what = &fleetpb.EndSession{Node: node.Draw(t, "node"), Epoch: rapid.Uint64Range(0, 30).Draw(t, "epoch"), Lapsed: rapid.Bool().Draw(t, "lapsed")}
+			case 6:
+				what = &fleetpb.Ack{Node: node.Draw(t, "node"), Session: rapid.Uint64Range(0, 30).Draw(t, "session"), Target: target, Epoch: rapid.Uint64Range(0, 30).Draw(t, "epoch")}
+			case 7:
+				what, unplanned = &fleetpb.Drain{Target: target, Force: true}, true
+			default:
+				what = &fleetpb.Withdraw{Target: target}
+			}
+			over := overs(w.Machine)
+			ask := rapid.SampledFrom([]string{"", "", "", "a1", "a2"}).Draw(t, "ask")
+			if a, b := w.say(ask, what), twin.say(ask, what); !proto.Equal(a, b) {
+				t.Fatalf("%v beside %v", a, b)
+			}
+			for group, n := range overs(w.Machine) {
+				if !unplanned && n > over[group] {
+					t.Fatalf("%v: %s has %d more out than may be, %d before", what, group, n, over[group])
+				}
+			}
+			if w.State().Epoch < epoch {
+				t.Fatal("an epoch went back")
+			}
+			epoch = w.State().Epoch
+			one, _ := w.Snapshot()
+			two, _ := twin.Snapshot()
+			if !bytes.Equal(one, two) {
+				t.Fatal("two machines differ")
+			}
+			twin.Machine = New()
+			if err := twin.Restore(two); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// overs is by how many servers each group is over its bounds, counted apart from the machine's own reckoning.
+func overs(m *Machine) map[string]int {
+	s, out := m.State(), map[string]int{}
+	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
+		x := s.Servers[id]
+		if s.Outs["server/"+id] == nil && x.State == Ready {
+			continue
+		}
+		out["zone "+x.Zone]++
+		out["fleet"]++
+	}
+	over := map[string]int{}
+	for g, n := range out {
+		most := 2
+		if g == "fleet" {
+			most = int(0.4 * float64(len(s.Servers)))
+		}
+		over[g] = max(0, n-most)
+	}
+	return over
+}
+
+func FuzzApply(f *testing.F) {
+	raw, _ := proto.Marshal(&fleetpb.Entry{Level: 1, AtMs: 5, What: &fleetpb.Entry_Drain{Drain: &fleetpb.Drain{Target: "server/s-0", WaitMs: 5}}})
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		w := newWorld(zoneBudget(1))
+		w.Apply(raw)
+		snap, err := w.Snapshot()
+		if err == nil {
+			err = New().Restore(snap)
+		}
+		if err != nil && !strings.Contains(err.Error(), "invalid UTF-8") {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -61,6 +61,9 @@
 
 var hostName = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?(\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*$`)
 
+// HostName tells whether a text is a DNS name in lower case.
+func HostName(text string) bool { return hostName.MatchString(text) }
+
 // Load reads a file and checks all of it, certificates included, against the time now. An error is one line with file,
 // line and key.
 func Load(path string, now time.Time) (*Config, error) {
@@ -111,7 +114,7 @@
 	if c.Identity.Certificate, err = tls.LoadX509KeyPair(beside(f.Site.Certificate), beside(f.Site.Key)); err != nil {
 		return nil, fault("site.certificate", "%v", err)
 	}
-	if err := good(c.Identity.Certificate.Leaf, f.Site.Name, now); err != nil {
+	if err := Good(c.Identity.Certificate.Leaf, f.Site.Name, now); err != nil {
 		return nil, fault("site.certificate", "%v", err)
 	}
 	if len(f.Peer) > mostPeers {
@@ -139,7 +142,7 @@
 				return nil, fault(key+"addresses", "%s is this node's own", a)
 			}
 		}
-		roots, err := readRoots(beside(p.Roots), now)
+		roots, err := ReadRoots(beside(p.Roots), now)
 		if err != nil {
 			return nil, fault(key+"roots", "%v", err)
 		}
@@ -148,7 +151,8 @@
 	return c, nil
 }
 
-func good(leaf *x509.Certificate, name string, now time.Time) error {
+// Good tells whether a certificate is good for a name now.
+func Good(leaf *x509.Certificate, name string, now time.Time) error {
 	if err := leaf.VerifyHostname(name); err != nil {
 		return err
 	}
@@ -158,8 +162,8 @@
 	return nil
 }
 
-// readRoots takes a file of PEM certificates of which one at least is good now.
-func readRoots(path string, now time.Time) (*x509.CertPool, error) {
+// ReadRoots takes a file of PEM certificates of which one at least is good now.
+func ReadRoots(path string, now time.Time) (*x509.CertPool, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -11,6 +11,12 @@
 //
 //	near: HANDOFF number ack left_us, then an HTTP/1.1 request     far: ANSWER number state, then an HTTP/1.1 response
 //	near: ASK number wait_us                                       far: ANSWER number state, then the response if kept
+//
+// Nodes of one fleet have connections of their own (Calls), without a control stream. Each stream is a call, or carries
+// one-way messages for as long as it is there:
+//
+//	CALL kind, then the request     REPLY status, then the answer
+//	POST kind, then a message; POST kind, ...
 package link
 
 import (
@@ -32,6 +38,9 @@
 	typeHandoff
 	typeAnswer
 	typeAsk
+	typeCall
+	typeReply
+	typePost
 )
 
 const (
@@ -88,7 +97,7 @@
 		}
 		values, payload = append(values, v), payload[n:]
 	}
-	if len(payload) > 0 && typ != typeHandoff && typ != typeAnswer {
+	if len(payload) > 0 && typ != typeHandoff && typ != typeAnswer && typ < typeCall {
 		return typ, nil, nil, fmt.Errorf("%w: type %d is too long", errFrame, typ)
 	}
 	return typ, values, payload, nil
--- a/internal/link/tls.go
+++ b/internal/link/tls.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -14,6 +15,7 @@
 // Peer is another site as this one knows it.
 type Peer struct {
 	Name      string         // a DNS name that its certificate must hold
+	Members   bool           // Name is a domain: each member has a certificate for a name right below it
 	Roots     *x509.CertPool // of its own; no other site's certificate is good for it
 	Addresses []string       // of its nodes, IP:port
 }
@@ -47,15 +49,33 @@
 
 func (id *Identity) peer(name string) *Peer {
 	for i := range id.Peers {
-		if id.Peers[i].Name == name {
-			return &id.Peers[i]
+		if p := &id.Peers[i]; p.Name == name && !p.Members || p.Members && p.member(name) {
+			return p
 		}
 	}
 	return nil
 }
 
-// verify checks a chain against one peer's roots and name.
-func (k *Keeper) verify(p *Peer, chain []*x509.Certificate, use x509.ExtKeyUsage) error {
+// member tells whether a name is right below the peer's domain.
+func (p *Peer) member(name string) bool {
+	label, domain, ok := strings.Cut(name, ".")
+	return ok && label != "" && label != "*" && domain == p.Name
+}
+
+// name is what a certificate is to be good for, as this peer's.
+func (p *Peer) name(leaf *x509.Certificate) string {
+	if p.Members {
+		for _, n := range leaf.DNSNames {
+			if p.member(n) {
+				return n
+			}
+		}
+	}
+	return p.Name
+}
+
+// verify checks a chain against one peer's roots and a name of its.
+func (k *Keeper) verify(p *Peer, name string, chain []*x509.Certificate, use x509.ExtKeyUsage) error {
 	if len(chain) == 0 {
 		return errors.New("no certificate")
 	}
@@ -63,19 +83,23 @@
 	for _, c := range chain[1:] {
 		between.AddCert(c)
 	}
-	_, err := chain[0].Verify(x509.VerifyOptions{DNSName: p.Name, Roots: p.Roots, Intermediates: between, CurrentTime: k.now(),
+	_, err := chain[0].Verify(x509.VerifyOptions{DNSName: name, Roots: p.Roots, Intermediates: between, CurrentTime: k.now(),
 		KeyUsages: []x509.ExtKeyUsage{use}})
 	return err
 }
 
 // caller tells which peer's node is calling, by its certificate.
 func (k *Keeper) caller(chain []*x509.Certificate) (string, error) {
+	if len(chain) == 0 {
+		return "", errors.New("no certificate")
+	}
 	var errs []error
 	id := k.Get()
 	for i := range id.Peers {
-		err := k.verify(&id.Peers[i], chain, x509.ExtKeyUsageClientAuth)
+		name := id.Peers[i].name(chain[0])
+		err := k.verify(&id.Peers[i], name, chain, x509.ExtKeyUsageClientAuth)
 		if err == nil {
-			return id.Peers[i].Name, nil
+			return name, nil
 		}
 		errs = append(errs, fmt.Errorf("as %s: %w", id.Peers[i].Name, err))
 	}
@@ -102,6 +126,6 @@
 			if p == nil {
 				return fmt.Errorf("site %s has been removed", site)
 			}
-			return k.verify(p, s.PeerCertificates, x509.ExtKeyUsageServerAuth)
+			return k.verify(p, site, s.PeerCertificates, x509.ExtKeyUsageServerAuth)
 		}}
 }
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -71,15 +71,15 @@
 		if _, err := netip.ParseAddrPort(s.Addr); err != nil && state != decide.Gone {
 			return core.List{}, fmt.Errorf("list, entry %d: %w", i, err)
 		}
-		l.Entries = append(l.Entries, core.Entry{Addr: s.Addr, Server: decide.Server{ID: serverID(s.ID), Zone: s.Zone, Kind: s.Kind,
+		l.Entries = append(l.Entries, core.Entry{Name: s.ID, Addr: s.Addr, Server: decide.Server{ID: ServerID(s.ID), Zone: s.Zone, Kind: s.Kind,
 			Cell: s.Cell, State: state, Size: s.Weight, StartedAt: time.Duration(min(max(0, s.Started), latestStart)) * time.Millisecond}})
 	}
 	return l, nil
 }
 
-// serverID makes the module's number of a name, the same at every node: the module's order of servers hangs on
+// ServerID makes the module's number of a name, the same at every node: the module's order of servers hangs on
 // it. Names that end in eight hex digits hold it; of others it is a hash.
-func serverID(name string) decide.ServerID {
+func ServerID(name string) decide.ServerID {
 	if _, digits, ok := strings.Cut(name, "-"); ok && len(digits) == 8 {
 		if v, err := strconv.ParseUint(digits, 16, 32); err == nil {
 			return decide.ServerID(v)
