Rig of drains: real processes, wires between each pair, faults from a seed, checkers by outside logs

Need: what is promised of a fleet is to be shown by processes under faults (issue of drains and releases, proof). Found by it and mended: 'fleet drain' queued for 30 s by itself, since two flags shared a variable. Each checker finds its planted fault.

--- /dev/null
+++ b/cmd/rig/drains_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/standin"
+)
+
+// The faults of a schedule are the same when it is printed and read, and every kind comes.
+func TestSchedule(t *testing.T) {
+	list := drawFaults(3, 2*time.Minute, 6)
+	text, _ := capture(t, func(r *report) { printFaults(r.w, list) })
+	path := filepath.Join(t.TempDir(), "schedule")
+	if err := os.WriteFile(path, []byte("drains.faults 3 troubles\n"+text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again, err := readFaults(path, 6)
+	if err != nil || !slices.Equal(list, again) {
+		t.Errorf("%v: %v, want %v", err, again, list)
+	}
+	for _, kind := range faultKinds {
+		if !slices.ContainsFunc(list, func(f fault) bool { return f.Kind == kind }) {
+			t.Errorf("no %s within two minutes", kind)
+		}
+	}
+	os.WriteFile(path, []byte(`schedule {"at":1,"length":1,"kind":"kill","node":6}`), 0o600)
+	if _, err := readFaults(path, 6); err == nil || !strings.Contains(err.Error(), ":1:") {
+		t.Errorf("a fault of a member that is not there: %v", err)
+	}
+}
+
+// Each checker finds the fault that is planted for it, and none without it.
+func TestCheckersFindFaults(t *testing.T) {
+	zones := map[string]string{"s-1": "a", "s-2": "a", "s-3": "a", "s-4": "b"}
+	at := func(s float64) time.Time { return time.Unix(1000, int64(s*1e9)) }
+	ask := func(from, to float64, server string, back bool, code askCode) drainAsk {
+		return drainAsk{server: server, zone: zones[server], giveBack: back, from: at(from), to: at(to), code: code}
+	}
+	good := []drainAsk{ask(0, 1, "s-1", false, askDone), ask(2, 3, "s-2", false, askDone), ask(4, 5, "s-3", false, askBudget), ask(6, 7, "s-1", true, askDone),
+		ask(6, 7.5, "s-3", false, askDone), ask(8, 9, "s-1", true, askNotOut), ask(8, 9, "s-2", false, askOut), ask(8, 9, "s-4", false, askDone)}
+	for name, c := range map[string]struct {
+		list []drainAsk
+		gone []span
+		bad  bool
+	}{
+		"good":                         {good, nil, false},
+		"one too many":                 {append(good, ask(10, 11, "s-1", false, askDone)), nil, true},
+		"granted twice":                {append(good, ask(10, 11, "s-4", false, askDone)), nil, true},
+		"refused without cause":        {append(good, ask(10, 11, "s-4", true, askDone), ask(12, 13, "s-4", false, askBudget)), nil, true},
+		"refused as one went":          {append(good, ask(10, 11, "s-4", true, askDone), ask(12, 13, "s-4", false, askBudget)), []span{{at(12), at(14)}}, false},
+		"a grant that was forgotten":   {append(good, ask(10, 11, "s-2", true, askNotOut)), nil, true},
+		"no answer, and it was done":   {append(good, ask(10, 11, "s-4", true, askUnknown), ask(12, 13, "s-4", false, askDone)), nil, false},
+		"no answer, and nothing":       {append(good, ask(10, 11, "s-4", true, askUnknown), ask(12, 13, "s-4", false, askOut)), nil, false},
+		"no answer, then both at once": {append(good, ask(10, 11, "s-4", true, askUnknown), ask(12, 13, "s-4", false, askOut), ask(14, 15, "s-4", false, askDone), ask(16, 17, "s-4", false, askDone)), nil, true},
+	} {
+		if v := linearizable(c.list, zones, 2, c.gone); (v.Count > 0) != c.bad {
+			t.Errorf("%s: %v", name, v)
+		}
+	}
+	off := []offTime{{"s-1", "a", span{at(1), at(3)}}, {"s-2", "a", span{at(2), at(4)}}}
+	d := &drainsPlay{most: 2, off: off}
+	if v := d.budgetKept(); v.Count != 0 {
+		t.Error(v)
+	}
+	d.off = append(d.off, offTime{"s-3", "a", span{at(2.5), at(2.6)}})
+	if v := d.budgetKept(); v.Count != 1 {
+		t.Error(v)
+	}
+	sent := func(id, server string, s float64) standin.Execution {
+		return standin.Execution{ID: id, Server: server, Got: at(s)}
+	}
+	fine := []standin.Execution{sent("n1-1", "s-1", 0.9), sent("n1-2", "s-1", 3.1), sent("n1-3", "s-3", 2)}
+	if v := silentWhenProven(off, fine); v.Count != 0 || v.Seen != 2 {
+		t.Error(v)
+	}
+	if v := silentWhenProven(off, append(fine, sent("n1-4", "s-2", 3.9))); v.Count != 1 {
+		t.Error(v)
+	}
+	stamp := func(s float64) string {
+		return "time=" + at(s).Format("2006-01-02T15:04:05.000Z07:00") + " level=INFO "
+	}
+	log := stamp(0.5) + `msg="fleet: session" epoch=3` + "\n" + stamp(1) + `msg="fleet: follows" version=4 out=server/s-1` + "\n" +
+		stamp(2) + `msg="fleet: follows" version=5 out="server/s-1,server/s-2"` + "\n" + stamp(3) + `msg="fleet: follows" version=6 out=""` + "\n"
+	heard := hearings("n1", log)
+	if len(heard) != 2 {
+		t.Fatalf("%v", heard)
+	}
+	if v := quietAfterHearing(heard, append(fine, sent("n1-5", "s-1", 1.5), sent("n2-6", "s-1", 2.5))); v.Count != 0 || v.Seen != 2 {
+		t.Error(v)
+	}
+	if v := quietAfterHearing(heard, append(fine, sent("n1-5", "s-1", 1.6))); v.Count != 1 {
+		t.Error(v)
+	}
+	if code, _ := told(`{"code":"QUEUED"}`, 4, false); code != askOdd {
+		t.Errorf("an answer that was not asked for counts as %v", code)
+	}
+}
+
+// Six processes, three of them voters, under load: the leader is killed and cut off, a zone is cut off, all voters are killed, a registry
+// entry goes; operators drain through any node. All promises hold.
+func TestDrainsUnderFaults(t *testing.T) {
+	schedule := filepath.Join(t.TempDir(), "schedule")
+	if err := os.WriteFile(schedule, []byte(`schedule {"at":1,"length":1,"kind":"kill","node":-1}
+schedule {"at":4,"length":2,"kind":"cut","node":-1}
+schedule {"at":7,"length":1.5,"kind":"stop","node":-1}
+schedule {"at":9.5,"length":1,"kind":"cut-zone","node":1}
+schedule {"at":11.5,"length":1,"kind":"all-voters","node":0}
+schedule {"at":14,"length":1,"kind":"server","node":2}
+`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var rigErr error
+	text, broken := capture(t, func(r *report) {
+		rigErr = drainsRig(t.Context(), &options{seed: 5, quick: true, out: r, schedule: schedule, length: 16 * time.Second})
+	})
+	if rigErr != nil || broken > 0 {
+		t.Errorf("%v\n%s", rigErr, text)
+	}
+	for _, want := range []string{"drains.asks.done", "drains.proven"} {
+		if strings.Contains(text, want+" 0 ") {
+			t.Errorf("nothing was shown: %s", text)
+		}
+	}
+}
+
+// Two of three voters lose their disks, and all are started again: the fleet refuses to go on, says why, and forgets no drain; nodes
+// serve, and follow what they know.
+func TestTwoDisksLost(t *testing.T) {
+	w, err := newWorkshop(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	f, err := openZones(4, []string{"a"}, 4, kampklipWork(0.2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	p, err := openPack(t.Context(), w, f.registry.Addr, 4, 3, []string{"a"}, drainsBudget, &history{out: os.Stderr, began: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	drained := f.servers[1].Name
+	for _, args := range [][]string{{"drain", drained, "--why", "new disks"}, {"wait", drained}} {
+		if text, code := p.ask(t.Context(), p.members[3], args...); code != 0 {
+			t.Fatalf("%v: %d, %s", args, code, text)
+		}
+	}
+	for i, m := range p.members[:3] {
+		m.kill()
+		if i > 0 {
+			if err := os.Remove(filepath.Join(m.folder, "log.db")); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for i := range 3 {
+		if err := p.start(t.Context(), i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	said := func(m *packed, word string) bool { return strings.Contains(strings.Join(m.logs(), "\n"), word) }
+	for end := time.Now().Add(settleWait); !said(p.members[1], "n1 has a log already") || !said(p.members[2], "does not vote yet"); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("a voter without its disk says nothing of it:\n%s", strings.Join(p.members[1].logs(), "\n"))
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if text, code := p.ask(ctx, p.members[0], "return", drained); code == 0 {
+		t.Errorf("a fleet without a majority has agreed: %s", text)
+	}
+	f.setLog(true)
+	for i, m := range p.members {
+		l := &standin.Load{Addr: m.listen, Classes: kampklip, Retries: 2, Prefix: m.name + "-", KeepLog: true, Seed: uint64(i)}
+		ctx, cancel := contextUntil(t, func() bool { return len(l.Log()) >= 60 })
+		l.Closed(ctx, 2, 0)
+		cancel()
+		for _, a := range l.Log() {
+			if !a.Served() {
+				t.Errorf("%s: %s %d %s", m.name, a.ID, a.Status, a.Fault)
+				break
+			}
+		}
+	}
+	if n := len(f.servers[1].Log()); n > 0 {
+		t.Errorf("the drained server got %d requests: the drain was forgotten", n)
+	}
+}
--- /dev/null
+++ b/cmd/rig/faults.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"starlingvalve/internal/standin"
+)
+
+// fault is one trouble of a schedule. A schedule is data: it is drawn from a seed, printed a line a fault, and played again from
+// the print.
+type fault struct {
+	At     float64 `json:"at"` // seconds from the start
+	Length float64 `json:"length"`
+	Kind   string  `json:"kind"`
+	Node   int     `json:"node"` // index of a member; -1: whoever leads then
+}
+
+// Kinds of faults.
+const (
+	killMember = "kill"       // SIGKILL, and a start after the length
+	stopMember = "stop"       // SIGSTOP, and SIGCONT
+	cutMember  = "cut"        // from all others, both ways
+	muteMember = "mute"       // it hears and is not heard
+	deafMember = "deaf"       // it is heard and does not hear
+	cutZone    = "cut-zone"   // its zone from the other zones
+	cutHalves  = "halves"     // the voters into two parts, as even as can be, with the members by turns
+	slowPaths  = "slow"       // 40 ms each way, and one datagram in ten is lost, everywhere
+	killVoters = "all-voters" // SIGKILL to all of them, and a start
+	serverGone = "server"     // the registry says that a server is gone, then that it is ready
+	loseDisk   = "disk"       // the last voter's folder is lost with its process
+)
+
+var faultKinds = []string{killMember, stopMember, cutMember, muteMember, deafMember, cutZone, cutHalves, slowPaths, killVoters, serverGone}
+
+// drawFaults draws a schedule: each kind in turn before any comes again, one after another, with pauses.
+func drawFaults(seed uint64, length time.Duration, members int) (list []fault) {
+	r := rand.New(rand.NewPCG(seed, 0x6661756c74))
+	var kinds []string
+	for at := 1.0; ; {
+		if len(kinds) == 0 {
+			kinds = slices.Clone(faultKinds)
+			r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+		}
+		f := fault{At: at, Length: 0.5 + 3*r.Float64(), Kind: kinds[0], Node: r.IntN(members)}
+		if r.IntN(2) == 0 {
+			f.Node = -1
+		}
+		kinds = kinds[1:]
+		if f.At+f.Length > length.Seconds()-1 {
+			return list
+		}
+		list = append(list, f)
+		at += f.Length + 0.3 + 1.5*r.Float64()
+	}
+}
+
+func printFaults(w io.Writer, list []fault) {
+	for _, f := range list {
+		raw, _ := json.Marshal(f)
+		fmt.Fprintf(w, "schedule %s\n", raw)
+	}
+}
+
+// readFaults reads a schedule as it is printed; lines of other kinds are passed over.
+func readFaults(path string, members int) (list []fault, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for n := 1; lines.Scan(); n++ {
+		var f fault
+		text, ok := cutWord(lines.Text(), "schedule ")
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal([]byte(text), &f); err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", path, n, err)
+		}
+		if f.Node >= members || f.Length <= 0 || f.Length > 600 || !slices.Contains(append(slices.Clone(faultKinds), loseDisk), f.Kind) {
+			return nil, fmt.Errorf("%s:%d: no fault of %d members: %s", path, n, members, text)
+		}
+		list = append(list, f)
+	}
+	return list, lines.Err()
+}
+
+func cutWord(line, word string) (string, bool) {
+	if len(line) < len(word) || line[:len(word)] != word {
+		return "", false
+	}
+	return line[len(word):], true
+}
+
+// play makes a schedule's faults come and go.
+func (p *pack) play(ctx context.Context, began time.Time, list []fault, registry *standin.Registry, servers []*standin.Server) error {
+	for _, f := range list {
+		if d := time.Until(began.Add(time.Duration(f.At * float64(time.Second)))); d > 0 {
+			sleepFor(ctx, d)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := p.fault(ctx, f, registry, servers); err != nil {
+			return fmt.Errorf("fault %+v: %w", f, err)
+		}
+	}
+	return nil
+}
+
+func (p *pack) fault(ctx context.Context, f fault, registry *standin.Registry, servers []*standin.Server) error {
+	at := f.Node
+	if at < 0 {
+		if at = p.leader(ctx); at < 0 {
+			at = 0
+		}
+	}
+	m := p.members[at]
+	length := time.Duration(f.Length * float64(time.Second))
+	p.history.note("fault", "%s %s, leader asked for: %v, %v", f.Kind, m.name, f.Node < 0, length)
+	defer p.history.note("fault", "%s %s is over", f.Kind, m.name)
+	apart := func(together func(i, j int) bool) error {
+		for i := range p.members {
+			for j := range p.members {
+				if i != j && !together(i, j) {
+					p.cut(i, j, true)
+				}
+			}
+		}
+		sleepFor(ctx, length)
+		p.heal()
+		return nil
+	}
+	switch f.Kind {
+	case killMember:
+		m.kill()
+		sleepFor(ctx, length)
+		return p.start(ctx, at)
+	case stopMember:
+		m.freeze(true)
+		sleepFor(ctx, length)
+		m.freeze(false)
+	case cutMember:
+		return apart(func(i, j int) bool { return i != at && j != at })
+	case muteMember:
+		return apart(func(i, _ int) bool { return i != at })
+	case deafMember:
+		return apart(func(_, j int) bool { return j != at })
+	case cutZone:
+		return apart(func(i, j int) bool { return (p.members[i].zone == m.zone) == (p.members[j].zone == m.zone) })
+	case cutHalves:
+		return apart(func(i, j int) bool { return i%2 == j%2 })
+	case slowPaths:
+		for _, m := range p.members {
+			for _, w := range m.wires {
+				if w != nil {
+					w.Delay(40 * time.Millisecond)
+					w.Loss(100)
+				}
+			}
+		}
+		sleepFor(ctx, length)
+		p.heal()
+	case killVoters:
+		for _, v := range p.members[:p.voters] {
+			v.kill()
+		}
+		sleepFor(ctx, length/4)
+		errs := make(chan error, p.voters)
+		for i := range p.voters {
+			go func() { errs <- p.start(ctx, i) }()
+		}
+		var first error
+		for range p.voters {
+			if err := <-errs; err != nil {
+				first = err
+			}
+		}
+		return first
+	case serverGone:
+		s := servers[at%len(servers)]
+		e := standin.EntryOf(s)
+		e.State = "gone"
+		registry.Set(e)
+		sleepFor(ctx, length)
+		registry.Set(standin.EntryOf(s))
+	case loseDisk:
+		last := p.voters - 1
+		p.members[last].kill()
+		if err := os.RemoveAll(p.members[last].folder); err != nil {
+			return err
+		}
+		sleepFor(ctx, length)
+		return p.start(ctx, last)
+	}
+	return nil
+}
+
+// historyFile begins the file of a run's history.
+func (w *workshop) historyFile(keep string) (*history, func(), error) {
+	path := keep
+	if path == "" {
+		path = filepath.Join(w.dir, "history.txt")
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &history{out: f, began: time.Now()}, func() { f.Close() }, nil
+}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -40,6 +40,9 @@
 	servers        int    // of fleet
 	cuts, requests int    // of gateway
 	scenarios      string // of rehearse
+
+	schedule, history string // of drains
+	length            time.Duration
 }
 
 var rigs = map[string]rig{
@@ -48,6 +51,11 @@
 		fs.IntVar(&o.cuts, "cuts", 60, "how often the link breaks")
 		fs.IntVar(&o.requests, "requests", 20_000, "how many orders at least")
 	}},
+	"drains": {"operators drain servers through any node of a fleet, while nodes and the paths between them break", drainsRig, func(fs *pflag.FlagSet, o *options) {
+		fs.StringVar(&o.schedule, "schedule", "", "play the faults of this `FILE`, as an earlier run printed them")
+		fs.StringVar(&o.history, "history", "", "keep the history of all that happened in this `FILE`")
+		fs.DurationVar(&o.length, "length", 0, "of the play; 0: 20 minutes, or 28 s for -quick")
+	}},
 	"fleet": {"thousands of servers, replaced and flapping, beside twelve", fleetRig, func(fs *pflag.FlagSet, o *options) {
 		fs.IntVar(&o.servers, "servers", 10_000, "size of the large fleet: each takes a descriptor of the rig")
 	}},
--- /dev/null
+++ b/cmd/rig/pack.go
@@ -0,0 +1,361 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingvalve/internal/control"
+	"starlingvalve/internal/standin"
+)
+
+// pack is some nodes of one fleet as processes that agree with each other. Each pair's path leads through a wire of its own.
+type pack struct {
+	w        *workshop
+	auth     *standin.Authority
+	registry string
+	voters   int // the first so many of the members
+	budgets  string
+	members  []*packed
+	history  *history
+}
+
+// packed is a member of a pack: a place that has one process at a time.
+type packed struct {
+	name, zone   string
+	listen, udp  string // for clients; for other nodes
+	socket, file string
+	folder       string
+	wires        []*standin.Wire // its way to each voter; nil to itself
+
+	mu      sync.Mutex
+	proc    *node   // nil: none
+	procs   []*node // all that there were
+	down    []span  // it could not answer: it was killed or stopped
+	stopped bool    // by SIGSTOP
+}
+
+// span is a time; a zero to is no end.
+type span struct{ from, to time.Time }
+
+func (s span) touches(from, to time.Time) bool {
+	return s.from.Before(to) && (s.to.IsZero() || s.to.After(from))
+}
+
+// history is what happened, as the rig saw it: a line an event, in one file.
+type history struct {
+	mu    sync.Mutex
+	out   io.Writer
+	began time.Time
+}
+
+func (h *history) note(who, what string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	fmt.Fprintf(h.out, "%9.3f %-6s %s\n", time.Since(h.began).Seconds(), who, fmt.Sprintf(what, args...))
+}
+
+const (
+	packDomain  = "fleet.example.org"
+	packSession = 2500 * time.Millisecond
+	packTick    = 60 * time.Millisecond
+)
+
+// freePort is a port that the kernel chose a moment ago.
+func freePort(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// openPack starts n members, the first of them voters, in zones by turns, and waits until each serves and has a session.
+func openPack(ctx context.Context, w *workshop, registry string, n, voters int, zones []string, budgets string, h *history) (*pack, error) {
+	auth, err := standin.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	p := &pack{w: w, auth: auth, registry: registry, voters: voters, budgets: budgets, history: h}
+	for i := range n {
+		m := &packed{name: fmt.Sprintf("n%d", i+1), zone: zones[i%len(zones)], wires: make([]*standin.Wire, voters)}
+		if m.listen, err = freePort("tcp"); err != nil {
+			return nil, err
+		}
+		if m.udp, err = freePort("udp"); err != nil {
+			return nil, err
+		}
+		base := filepath.Join(w.dir, m.name)
+		m.folder, m.socket, m.file = base+"-fleet", base+".sock", base+"-fleet.toml"
+		p.members = append(p.members, m)
+	}
+	for _, m := range p.members {
+		if err := p.write(m); err != nil {
+			p.close()
+			return nil, err
+		}
+	}
+	errs := make(chan error, n)
+	for i := range p.members {
+		go func() { errs <- p.start(ctx, i) }()
+	}
+	for range n {
+		err = errors.Join(err, <-errs)
+	}
+	if err == nil {
+		err = p.settled(ctx)
+	}
+	if err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// write makes a member's wires, certificate and fleet file.
+func (p *pack) write(m *packed) error {
+	_, cert, key, err := p.auth.Issue(m.name+"."+packDomain, time.Now().Add(time.Hour))
+	if err != nil {
+		return err
+	}
+	base := strings.TrimSuffix(m.file, "-fleet.toml")
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "[node]\nname = %q\ndomain = %q\nzone = %q\ncertificate = %q\nkey = %q\nroots = %q\nfolder = %q\nsocket = %q\n",
+		m.name, packDomain, m.zone, base+".crt", base+".key", base+".roots", m.folder, m.socket)
+	if slices.Index(p.members, m) < p.voters {
+		fmt.Fprintf(&b, "listen = %q\n", m.udp)
+	}
+	fmt.Fprintf(&b, "\n[timing]\nsession_ms = %d\ntick_ms = %d\n", packSession.Milliseconds(), packTick.Milliseconds())
+	for i, v := range p.members[:p.voters] {
+		addr := v.udp
+		if v != m {
+			if m.wires[i], err = standin.NewWire(v.udp); err != nil {
+				return err
+			}
+			addr = m.wires[i].Addr
+		}
+		fmt.Fprintf(&b, "\n[[voter]]\nname = %q\naddress = %q\n", v.name, addr)
+	}
+	b.WriteString(p.budgets)
+	for name, content := range map[string][]byte{base + ".crt": cert, base + ".key": key, base + ".roots": p.auth.RootPEM(), m.file: b.Bytes()} {
+		if err := os.WriteFile(name, content, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts a member's process and waits until it serves.
+func (p *pack) start(ctx context.Context, i int) error {
+	m := p.members[i]
+	path, err := p.w.configFile(nodeOptions{name: m.name, registry: p.registry, classes: kampklip, nodes: len(p.members), self: i, memoryMB: 192, sockets: 1024,
+		zone: m.zone, coldFrom: 1, coldTime: time.Second, listen: m.listen})
+	if err != nil {
+		return err
+	}
+	c, err := p.w.start([]string{"GW_CONFIG=" + path, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", "TMPDIR=" + p.w.dir}, p.w.binary, "-fleet", m.file)
+	if err != nil {
+		return err
+	}
+	n := &node{child: c, addr: m.listen}
+	if err := ready(ctx, c, "http://"+m.listen+"/health/ready"); err != nil {
+		return fmt.Errorf("%s: %w", m.name, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.proc, m.procs = n, append(m.procs, n)
+	m.up()
+	return nil
+}
+
+// up ends the time in which a member could not answer. It is called under the lock.
+func (m *packed) up() {
+	if n := len(m.down); n > 0 && m.down[n-1].to.IsZero() {
+		m.down[n-1].to = time.Now()
+	}
+}
+
+// kill ends a member's process at once, by its id.
+func (m *packed) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.proc == nil {
+		return
+	}
+	m.down = append(m.down, span{from: time.Now()})
+	m.proc.kill()
+	m.proc, m.stopped = nil, false
+}
+
+// freeze stops a member's process as it is, or has it go on.
+func (m *packed) freeze(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.proc == nil || m.stopped == on {
+		return
+	}
+	m.stopped = on
+	if on {
+		m.down = append(m.down, span{from: time.Now()})
+		m.proc.cmd.Process.Signal(syscall.SIGSTOP)
+	} else {
+		m.proc.cmd.Process.Signal(syscall.SIGCONT)
+		m.up()
+	}
+}
+
+// runs tells whether a member has a process that is not stopped.
+func (m *packed) runs() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.proc != nil && !m.stopped
+}
+
+// downIn tells whether a member could not answer at some moment of a time.
+func (m *packed) downIn(from, to time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.down, func(s span) bool { return s.touches(from, to) })
+}
+
+// logs gives all that a member's processes have logged, one text each.
+func (m *packed) logs() (all []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.procs {
+		all = append(all, n.log.String())
+	}
+	return all
+}
+
+// cut cuts the paths from one member to another, one way; on a whole cut it is called for both.
+func (p *pack) cut(from, to int, on bool) {
+	if to < p.voters && p.members[from].wires[to] != nil {
+		p.members[from].wires[to].CutOne(true, on)
+	}
+	if from < p.voters && p.members[to].wires[from] != nil {
+		p.members[to].wires[from].CutOne(false, on)
+	}
+}
+
+// heal makes all paths whole.
+func (p *pack) heal() {
+	for _, m := range p.members {
+		for _, w := range m.wires {
+			if w != nil {
+				w.Cut(false, false)
+				w.Delay(0)
+				w.Loss(0)
+			}
+		}
+	}
+}
+
+func (p *pack) close() {
+	for _, m := range p.members {
+		m.kill()
+		for _, w := range m.wires {
+			if w != nil {
+				w.Close()
+			}
+		}
+	}
+}
+
+// leader is the index of the member that leads, by its own word; -1: none says so.
+func (p *pack) leader(ctx context.Context) int {
+	best, term := -1, uint64(0)
+	for i, m := range p.members[:p.voters] {
+		if !m.runs() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		h, err := control.Knock(m.socket).Here(ctx)
+		cancel()
+		if err == nil && h.Voter == "leads" && h.Term >= term {
+			best, term = i, h.Term
+		}
+	}
+	return best
+}
+
+const settleWait = 30 * time.Second
+
+// settled waits until all members have a session, by the leader's word.
+func (p *pack) settled(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	last := errors.New("nobody was asked")
+	for try := 0; ; try++ {
+		m := p.members[try%len(p.members)]
+		s, err := control.Knock(m.socket).State(ctx)
+		if err == nil {
+			live, listed := 0, len(s.Servers)
+			for _, n := range s.Nodes {
+				if n.State == "live" {
+					live++
+				}
+			}
+			if live == len(p.members) && s.BudgetsSet && listed > 0 {
+				return nil
+			}
+			err = fmt.Errorf("%d of %d members have a session, %d servers listed", live, len(p.members), listed)
+		}
+		last = err
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not settled within %v: %w\n%s", settleWait, last, strings.Join(m.logs(), "\n"))
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// ask runs the program's fleet command as a process of its own, through a member's socket, and gives what it prints and its exit code.
+func (p *pack) ask(ctx context.Context, m *packed, args ...string) (string, int) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, p.w.binary, append([]string{"fleet", "--socket", m.socket}, args...)...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	if err := cmd.Run(); cmd.ProcessState == nil {
+		return err.Error(), -1
+	}
+	code := cmd.ProcessState.ExitCode()
+	if out.Len() == 0 {
+		return errs.String(), code
+	}
+	return out.String(), code
+}
+
+const askLimit = 45 * time.Second
+
+// result reads what a command printed as JSON.
+func result(text string) (r struct {
+	Code, Reason string
+	Epoch        uint64 `json:",string"`
+}) {
+	json.Unmarshal([]byte(text), &r)
+	return r
+}
--- a/cmd/starlingvalve/fleet.go
+++ b/cmd/starlingvalve/fleet.go
@@ -38,7 +38,7 @@
 // asking is what the fleet commands share.
 type asking struct {
 	socket, by, why, output string
-	wait                    time.Duration
+	queue, timeout          time.Duration
 }
 
 func (a *asking) json() bool { return a.output == "json" }
@@ -83,7 +83,7 @@
 	add("history", "Who asked what, and what became of it", cobra.NoArgs, a.history)
 	var dry, force bool
 	drain := add("drain SERVER", "Take a server out everywhere, if the budgets allow it", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
-		w := &fleetpb.Drain{Target: target(args[0]), By: a.by, Why: a.why, WaitMs: a.wait.Milliseconds(), Force: force}
+		w := &fleetpb.Drain{Target: target(args[0]), By: a.by, Why: a.why, WaitMs: a.queue.Milliseconds(), Force: force}
 		if dry {
 			m, err := a.machine(c.Context(), d)
 			if err != nil {
@@ -93,7 +93,7 @@
 		}
 		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Drain{Drain: w}})
 	})
-	drain.Flags().DurationVar(&a.wait, "queue", 0, "wait in the queue for so long, if the budgets are spent")
+	drain.Flags().DurationVar(&a.queue, "queue", 0, "wait in the queue for so long, if the budgets are spent")
 	drain.Flags().BoolVar(&dry, "dry-run", false, "only tell what would become of it")
 	drain.Flags().BoolVar(&force, "force", false, "past the budgets; the history names who did it")
 	add("return SERVER", "Take a drained server back", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
@@ -106,7 +106,7 @@
 		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Forget{Forget: &fleetpb.Forget{Target: target(args[0]), By: a.by, Why: a.why}}})
 	})
 	wait := add("wait SERVER", "Wait until a drain is proven: no node sends there, and nothing is left", cobra.ExactArgs(1), a.proof)
-	wait.Flags().DurationVar(&a.wait, "timeout", 30*time.Second, "for so long at most")
+	wait.Flags().DurationVar(&a.timeout, "timeout", 30*time.Second, "for so long at most")
 	return root
 }
 
@@ -175,7 +175,7 @@
 
 // proof waits until a drain is proven.
 func (a *asking) proof(c *cobra.Command, d *control.Door, args []string) error {
-	ctx, cancel := context.WithTimeout(c.Context(), a.wait)
+	ctx, cancel := context.WithTimeout(c.Context(), a.timeout)
 	defer cancel()
 	t := target(args[0])
 	var p fleet.Proof
@@ -200,7 +200,7 @@
 		case <-ctx.Done():
 		}
 		if !p.Granted {
-			return fmt.Errorf("%w within %v: %w", control.ErrDoor, a.wait, err)
+			return fmt.Errorf("%w within %v: %w", control.ErrDoor, a.timeout, err)
 		}
 		fmt.Fprintf(c.OutOrStdout(), "not proven, epoch %d: unheard with a session: %s; unheard, session lapsed: %s\n", p.Epoch, names(p.Unheard), names(p.Lapsed))
 		return exitCode(exitUnproven)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -381,11 +383,11 @@
 			now.Out[x.Target] = x.Epoch
 		}
 		n.hold(now)
+		n.log.Info("fleet: follows", "version", now.Version, "out", strings.Join(slices.Sorted(maps.Keys(now.Out)), ","))
 		if err := n.keep(now); err != nil {
 			n.log.Error("fleet: what this node follows can't be kept; it acknowledges nothing", "err", err)
 			continue
 		}
-		n.log.Info("fleet: follows", "version", now.Version, "out", len(now.Out))
 		n.mu.Lock()
 		n.held = now
 		close(n.follows)
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -110,6 +110,16 @@
 	w.toNear.Store(toNear)
 }
 
+// CutOne stops, or lets through again, what goes one way, and leaves the other way as it is.
+func (w *Wire) CutOne(toFar, on bool) {
+	w.left.Store(disarmed)
+	if toFar {
+		w.toFar.Store(on)
+	} else {
+		w.toNear.Store(on)
+	}
+}
+
 // Carried gives the datagrams and their bytes so far, both ways, without IP and UDP headers.
 func (w *Wire) Carried() (datagrams, bytes int64) { return w.count.Load(), w.bytes.Load() }
 
