--- a/cmd/rig/drains_test.go
+++ b/cmd/rig/drains_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -194,3 +196,117 @@
 		t.Errorf("the drained server got %d requests: the drain was forgotten", n)
 	}
 }
+
+// The fleet's other words, on real processes: a zone goes out and comes back, a held one stays, a node sends its clients away, and a
+// server that takes requests and answers none is out by the nodes' own findings.
+func TestFleetWords(t *testing.T) {
+	w, err := newWorkshop(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	zones := []string{"a", "b"}
+	f, err := openZones(8, zones, 4, kampklipWork(0.2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	budgets := "\n[[budget]]\nname = \"half\"\non = \"servers\"\nby = \"fleet\"\nmost_share = 0.5\n\n[[budget]]\nname = \"one\"\non = \"servers\"\nby = \"zone\"\nonly = \"b\"\nmost_out = 1\n"
+	p, err := openPack(t.Context(), w, f.registry.Addr, 4, 3, zones, budgets, &history{out: os.Stderr, began: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	loading, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	var loads []*standin.Load
+	for i, m := range p.members {
+		l := &standin.Load{Addr: m.listen, Classes: kampklip, Retries: 2, Prefix: m.name + "-", KeepLog: true, Seed: uint64(i)}
+		loads = append(loads, l)
+		running.Go(func() { l.Open(loading, 60, 500) })
+	}
+	say := func(want int, part string, args ...string) {
+		t.Helper()
+		if text, code := p.ask(t.Context(), p.members[len(args)%4], args...); code != want || !strings.Contains(text, part) {
+			t.Fatalf("%v: exit code %d, %s; want %d with %q", args, code, text, want, part)
+		}
+	}
+	until := func(what string, done func() bool) {
+		t.Helper()
+		for end := time.Now().Add(settleWait); !done(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: not within %v", what, settleWait)
+			}
+		}
+	}
+	got := func(zone string) (n int) {
+		for _, s := range f.servers {
+			if s.Zone == zone {
+				n += len(s.Log())
+			}
+		}
+		return n
+	}
+	until("work in both zones", func() bool { return got("a") > 50 && got("b") > 50 })
+
+	say(0, "done", "drain", "zone/a", "--why", "new floor")
+	say(0, "proven", "wait", "zone/a")
+	before, other := got("a"), got("b")
+	until("more work for the other zone", func() bool { return got("b") > other+100 })
+	if n := got("a") - before; n != 0 {
+		t.Errorf("%d requests for the servers of a drained zone", n)
+	}
+	say(3, "4 at most", "drain", f.servers[1].Name)
+	say(0, "done", "return", "zone/a")
+	until("work again", func() bool { return got("a") > before+50 })
+
+	say(0, "done", "hold", "zone/a", "--by", "ole", "--why", "a match")
+	say(3, "zone/a is held by ole: a match", "drain", f.servers[0].Name)
+	say(0, "done", "hold", "zone/a", "--lift")
+	say(0, "would be done", "drain", f.servers[0].Name, "--dry-run")
+
+	ready := func() int {
+		resp, err := http.Get("http://" + p.members[3].listen + "/health/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	say(0, "done", "drain", "node/n4")
+	until("a node says that it is away", func() bool { return ready() == http.StatusServiceUnavailable })
+	say(0, "", "return", "node/n4")
+	until("it is back", func() bool { return ready() == http.StatusOK })
+
+	f.servers[1].Mute(true)
+	until("the nodes find it dead", func() bool {
+		text, _ := p.ask(t.Context(), p.members[0], "budget")
+		return strings.Contains(text, f.servers[1].Name+" (found dead by the nodes)")
+	})
+	say(3, "budget one, zone b: 2 of 4 out, 1 at most", "drain", f.servers[3].Name)
+	say(4, "place 1", "drain", f.servers[3].Name, "--queue", "1m")
+	f.servers[1].Mute(false)
+	until("who waits has its turn", func() bool {
+		text, code := p.ask(t.Context(), p.members[1], "wait", f.servers[3].Name, "--timeout", "2s")
+		return code == 0 && strings.Contains(text, "proven")
+	})
+	text, code := p.ask(t.Context(), p.members[2], "history")
+	for _, want := range []string{"drain of zone/a granted", "drain of zone/a proven", "hold on zone/a: a match", "found dead by the nodes", "found alive again", "ms in the queue"} {
+		if code != 0 || !strings.Contains(text, want) {
+			t.Errorf("the history does not tell %q:\n%s", want, text)
+		}
+	}
+	stop()
+	running.Wait()
+	e := standin.Evidence{Classes: kampklip, Executions: f.executions(), Told: f.registry.Told()}
+	for _, l := range loads {
+		e.Answers = append(e.Answers, l.Log()...)
+	}
+	for _, v := range standin.Check(e) {
+		if v.Count > 0 {
+			t.Error(v)
+		}
+	}
+}
--- a/cmd/starlingvalve/fleet.go
+++ b/cmd/starlingvalve/fleet.go
@@ -82,7 +82,7 @@
 	add("budget", "Each budget, and what is out of its groups", cobra.NoArgs, a.budget)
 	add("history", "Who asked what, and what became of it", cobra.NoArgs, a.history)
 	var dry, force bool
-	drain := add("drain SERVER", "Take a server out everywhere, if the budgets allow it", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+	drain := add("drain TARGET", "Take out a server (s-5), a node (node/n3) or all servers of a zone (zone/hall-a), if the budgets allow it", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
 		w := &fleetpb.Drain{Target: target(args[0]), By: a.by, Why: a.why, WaitMs: a.queue.Milliseconds(), Force: force}
 		if dry {
 			m, err := a.machine(c.Context(), d)
@@ -96,23 +96,28 @@
 	drain.Flags().DurationVar(&a.queue, "queue", 0, "wait in the queue for so long, if the budgets are spent")
 	drain.Flags().BoolVar(&dry, "dry-run", false, "only tell what would become of it")
 	drain.Flags().BoolVar(&force, "force", false, "past the budgets; the history names who did it")
-	add("return SERVER", "Take a drained server back", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+	add("return TARGET", "Take back what is drained", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
 		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Return{Return: &fleetpb.Return{Target: target(args[0]), By: a.by, Why: a.why}}})
 	})
-	add("withdraw SERVER", "Take a drain that waits out of the queue", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+	add("withdraw TARGET", "Take a drain that waits out of the queue", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
 		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Withdraw{Withdraw: &fleetpb.Withdraw{Target: target(args[0]), By: a.by}}})
 	})
+	var lift bool
+	hold := add("hold TARGET", "Keep a server, a node, a zone or, with fleet, everything from being taken out", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Hold{Hold: &fleetpb.Hold{Target: target(args[0]), By: a.by, Why: a.why, Lift: lift}}})
+	})
+	hold.Flags().BoolVar(&lift, "lift", false, "end that")
 	add("forget TARGET", "Say that a lapsed node (node/n3) or a server that is gone (server/s-5) is no more", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
 		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Forget{Forget: &fleetpb.Forget{Target: target(args[0]), By: a.by, Why: a.why}}})
 	})
-	wait := add("wait SERVER", "Wait until a drain is proven: no node sends there, and nothing is left", cobra.ExactArgs(1), a.proof)
+	wait := add("wait TARGET", "Wait until a drain is proven: no node sends there, and nothing is left", cobra.ExactArgs(1), a.proof)
 	wait.Flags().DurationVar(&a.timeout, "timeout", 30*time.Second, "for so long at most")
 	return root
 }
 
 // target names a server, where nothing else is named.
 func target(arg string) string {
-	if strings.Contains(arg, "/") {
+	if strings.Contains(arg, "/") || arg == fleet.Everything {
 		return arg
 	}
 	return fleet.ServerTarget(arg)
@@ -254,6 +259,9 @@
 		}
 		fmt.Fprintf(w, "out\t%s\tepoch %d\tby %s at %s\t%s\t%s\n", t, o.Epoch, o.By, at(o.GrantedMs), state, o.Why)
 	}
+	for _, t := range slices.Sorted(maps.Keys(s.Holds)) {
+		fmt.Fprintf(w, "held\t%s\tby %s\t%s\n", t, s.Holds[t].By, s.Holds[t].Why)
+	}
 	for i, q := range s.Queue {
 		fmt.Fprintf(w, "waits\t%s\tplace %d\tby %s until %s\t%s\n", q.Drain.Target, i+1, q.Drain.By, at(q.UntilMs), q.Reason)
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -99,13 +99,6 @@
 		tcp.Close()
 		return err
 	}
-	var agreement *control.Control
-	if c.Fleet != nil {
-		if agreement, err = control.Open(c.Fleet, loop, log); err != nil {
-			tcp.Close()
-			return err
-		}
-	}
 	handler := front.NewHandler(loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
 	handler.Figures = figures
 	if c.Record != nil {
@@ -118,8 +111,16 @@
 		defer stopRecording()
 	}
 	clientFront := http1.New(tcp, clients, handler, log)
-	t := &takeover{agreement: agreement, front: clientFront, handler: handler, transport: transport, peers: p, loop: loop, clients: clients, servers: room - clients,
+	t := &takeover{front: clientFront, handler: handler, transport: transport, peers: p, loop: loop, clients: clients, servers: room - clients,
 		memoryMB: c.Limits.MemoryMB, setMemory: c.setMemory, log: log, before: s.from != nil, serves: s.from == nil}
+	var agreement *control.Control
+	if c.Fleet != nil {
+		if agreement, err = control.Open(c.Fleet, loop, t.drained, log); err != nil {
+			tcp.Close()
+			return err
+		}
+		t.agreement = agreement
+	}
 	t.set(func() {})
 
 	var running sync.WaitGroup
--- a/internal/app/takeover.go
+++ b/internal/app/takeover.go
@@ -118,6 +118,7 @@
 	before bool           // the predecessor is still there
 	held   int            // clients' connections that it has
 	serves bool           // this process serves
+	away   bool           // the fleet has drained this node
 }
 
 // apply brings all parts to the present state. It is called under the lock.
@@ -135,7 +136,8 @@
 	}
 	t.front.Accept(t.serves && t.stage.Accepts())
 	t.peers.Speak(t.serves && t.stage.Speaks())
-	t.handler.Leave(t.stage.Closes())
+	t.handler.Leave(t.stage.Closes() || t.away)
+	t.handler.Away(t.away)
 	if t.agreement != nil {
 		t.agreement.Replaced(t.stage != handover.Alone)
 	}
@@ -148,6 +150,9 @@
 	t.apply()
 }
 
+// drained is told whether the fleet has drained this node: it says that it is not ready, and closes connections behind their answers.
+func (t *takeover) drained(on bool) { t.set(func() { t.away = on }) }
+
 // changed is told of the stage of this process's own replacement.
 func (t *takeover) changed(now handover.Stage) {
 	t.set(func() { t.stage = now })
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -27,10 +27,12 @@
 	"starlingvalve/internal/member/registry"
 )
 
-// Loop is what the node's loop is to this package.
+// Loop is what the node's loop is to this package. The counts' ok is false once it has ended.
 type Loop interface {
-	Hold(servers map[decide.ServerID]bool)
-	Left(servers map[decide.ServerID]bool) (left map[decide.ServerID]int, ok bool)
+	Hold(core.Held)
+	Left(core.Held) (attempts int, ok bool)
+	Open() (requests int, ok bool)
+	Suspects() []string
 	Listed() core.List
 }
 
@@ -44,6 +46,8 @@
 	heldFile    = "held.json"
 	lockFile    = "lock"
 	newestFiles = 0o600
+
+	mostSuspects = 500 // told of in one word
 )
 
 // Control is a node's part in the agreement.
@@ -51,7 +55,8 @@
 	c       *Config
 	loop    Loop
 	log     *slog.Logger
-	process string // of this run
+	away    func(on bool) // the node itself is drained: it says that it is not ready, and its clients are to go
+	process string        // of this run
 	ctx     context.Context
 	stop    context.CancelFunc
 	work    sync.WaitGroup
@@ -74,12 +79,12 @@
 	Out     map[string]uint64 `json:"out"` // targets, and the epochs of their drains
 }
 
-// Open begins: what the node followed at its last end holds at once. Run does the rest.
-func Open(c *Config, loop Loop, log *slog.Logger) (*Control, error) {
+// Open reads what the node followed at its last end. away is told whether the node itself is drained.
+func Open(c *Config, loop Loop, away func(on bool), log *slog.Logger) (*Control, error) {
 	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
 		return nil, fmt.Errorf("%s: node.folder: %w", c.Path, err)
 	}
-	n := &Control{c: c, loop: loop, log: log, process: rand.Text(), follows: make(chan struct{})}
+	n := &Control{c: c, loop: loop, away: away, log: log, process: rand.Text(), follows: make(chan struct{})}
 	var err error
 	if n.held, err = n.kept(); err != nil {
 		log.Warn("fleet: what this node followed before is not known", "err", err)
@@ -330,7 +335,7 @@
 		asked := time.Now()
 		ctx, cancel := context.WithTimeout(n.ctx, n.c.Life)
 		r, err := n.Ask(ctx, &fleetpb.Entry{What: &fleetpb.Entry_Open{Open: &fleetpb.OpenSession{Node: n.c.Name, Zone: n.c.Zone, Process: n.process,
-			Level: fleet.Level, Voter: n.c.Votes()}}})
+			Level: fleet.Level, Voter: n.c.Votes(), Dead: n.suspects()}}})
 		cancel()
 		pause := n.c.Life / aliveParts
 		n.mu.Lock()
@@ -409,18 +414,38 @@
 	}
 }
 
-// hold has the loop follow.
-func (n *Control) hold(h held) { n.loop.Hold(ids(h.Out)) }
+// suspects are the servers that this node takes for dead.
+func (n *Control) suspects() []string {
+	list := n.loop.Suspects()
+	return list[:min(len(list), mostSuspects)]
+}
 
-// ids gives the servers among targets.
-func ids(out map[string]uint64) map[decide.ServerID]bool {
-	servers := map[decide.ServerID]bool{}
-	for target := range out {
-		if name, ok := strings.CutPrefix(target, "server/"); ok {
-			servers[registry.ServerID(name)] = true
+// hold has the loop, and the node, follow.
+func (n *Control) hold(h held) {
+	n.loop.Hold(heldOf(slices.Collect(maps.Keys(h.Out))...))
+	n.away(h.Out[fleet.NodeTarget(n.c.Name)] > 0)
+}
+
+// heldOf gives the servers and zones among targets.
+func heldOf(targets ...string) core.Held {
+	h := core.Held{Servers: map[decide.ServerID]bool{}, Zones: map[string]bool{}}
+	for _, target := range targets {
+		switch kind, name, _ := strings.Cut(target, "/"); kind {
+		case "server":
+			h.Servers[registry.ServerID(name)] = true
+		case "zone":
+			h.Zones[name] = true
 		}
 	}
-	return servers
+	return h
+}
+
+// left is what is still under way of what a target is to have none of: attempts there; of this node itself, clients' requests.
+func (n *Control) left(target string) (int, bool) {
+	if target == fleet.NodeTarget(n.c.Name) {
+		return n.loop.Open()
+	}
+	return n.loop.Left(heldOf(target))
 }
 
 // keep writes what is followed, whole or not at all, before it is acknowledged.
@@ -484,13 +509,13 @@
 			}
 			continue
 		}
-		left, ok := n.loop.Left(ids(open))
-		if !ok {
-			return
-		}
 		var acks []*fleetpb.Ack
 		for target, epoch := range open {
-			if left[registry.ServerID(strings.TrimPrefix(target, "server/"))] == 0 {
+			left, ok := n.left(target)
+			if !ok {
+				return
+			}
+			if left == 0 {
 				acks = append(acks, &fleetpb.Ack{Node: n.c.Name, Session: session, Target: target, Epoch: epoch})
 			}
 		}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -67,7 +67,8 @@
 	member   *agree.Member // nil until the voters have found each other
 	changed  chan struct{} // closed at the next news
 	heard    map[string]time.Time
-	lapsing  map[string]uint64 // sessions whose end is on its way
+	lapsing  map[string]uint64   // sessions whose end is on its way
+	dead     map[string][]string // servers, by the nodes that find them dead
 
 	orders atomic.Pointer[orders]
 }
@@ -89,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &voter{c: c, listed: listed, log: log, machine: fleet.New(), disk: disk, changed: make(chan struct{}), heard: map[string]time.Time{}, lapsing: map[string]uint64{}}
+	v := &voter{c: c, listed: listed, log: log, machine: fleet.New(), disk: disk, changed: make(chan struct{}), heard: map[string]time.Time{}, lapsing: map[string]uint64{}, dead: map[string][]string{}}
 	v.birth, v.founding = disk.Birth()
 	return v, nil
 }
@@ -350,7 +351,7 @@
 			}
 		}
 		return nil
-	case *fleetpb.Entry_Budgets, *fleetpb.Entry_Drain, *fleetpb.Entry_Return, *fleetpb.Entry_Withdraw, *fleetpb.Entry_Forget:
+	case *fleetpb.Entry_Budgets, *fleetpb.Entry_Drain, *fleetpb.Entry_Return, *fleetpb.Entry_Withdraw, *fleetpb.Entry_Forget, *fleetpb.Entry_Hold:
 		return nil
 	}
 	return errors.New("no word that a node may say")
@@ -396,6 +397,8 @@
 // keepAlive opens a node's session, or notes that it was heard, which costs no entry. Either way this voter has been the leader
 // since the node asked: another one, that may let the session lapse, counts from later.
 func (v *voter) keepAlive(ctx context.Context, m *agree.Member, e *fleetpb.Entry, o *fleetpb.OpenSession) (*fleetpb.Result, error) {
+	dead := o.Dead
+	o.Dead = nil // the log holds what the leader makes of it
 	if err := m.Lead(ctx); err != nil {
 		return nil, err
 	}
@@ -420,7 +423,7 @@
 	if v.lapsing[o.Node] == epoch {
 		return &fleetpb.Result{Code: fleetpb.Result_FENCED, Reason: "the session has lapsed"}, nil
 	}
-	v.heard[o.Node] = time.Now()
+	v.heard[o.Node], v.dead[o.Node] = time.Now(), dead
 	return &fleetpb.Result{Code: fleetpb.Result_DONE, Epoch: epoch}, nil
 }
 
@@ -467,6 +470,7 @@
 			v.mu.Lock()
 			clear(v.heard)
 			clear(v.lapsing)
+			clear(v.dead)
 			v.mu.Unlock()
 			v.log.Info("fleet: this voter leads", "term", term)
 		}
@@ -520,12 +524,48 @@
 			d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_End{End: &fleetpb.EndSession{Node: name, Epoch: n.Epoch, Lapsed: true}}})
 		}
 	}
+	if told, dead := evidence(s, v.dead); !told {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Observed{Observed: &fleetpb.Observed{Dead: dead}}})
+	}
 	if news := difference(s.Servers, list); len(news) > 0 {
 		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Listed{Listed: &fleetpb.Listed{Servers: news[:min(len(news), listedMost)]}}})
 	}
 	return d
 }
 
+// Of the nodes with a session, so many have to find a server dead before it counts as out; so few, that it counts as in again.
+const (
+	deadFrom  = 0.5
+	deadUntil = 0.25
+)
+
+// evidence gives the servers that enough nodes find dead; told: that is what the state says already.
+func evidence(s *fleetpb.State, by map[string][]string) (told bool, dead []string) {
+	live, count := 0, map[string]int{}
+	for name, n := range s.Nodes {
+		if n.State == fleet.Live {
+			live++
+			for _, id := range by[name] {
+				count[id]++
+			}
+		}
+	}
+	told = true
+	for id, x := range s.Servers {
+		from := deadFrom
+		if x.Dead {
+			from = deadUntil
+		}
+		is := count[id] > 0 && float64(count[id]) >= from*float64(live)
+		told = told && is == x.Dead
+		if is {
+			dead = append(dead, id)
+		}
+	}
+	slices.Sort(dead)
+	return told, dead
+}
+
 // difference is what a list says otherwise than the state. A list that is not known, nil, says nothing.
 func difference(known map[string]*fleetpb.Server, list []*fleetpb.Server) (news []*fleetpb.Server) {
 	if list == nil {
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -2,19 +2,27 @@
 
 import "starlingvalve/decide"
 
-// Hold has these servers drained, whatever the list says, in place of those that were held before: nothing new goes to them
-// from here on. It changes nothing for servers that stay held or stay free.
-func (l *Loop) Hold(servers map[decide.ServerID]bool) {
+// Held is what is drained whatever membership says: servers, and all those of zones.
+type Held struct {
+	Servers map[decide.ServerID]bool
+	Zones   map[string]bool
+}
+
+func (h Held) has(e Entry) bool { return h.Servers[e.ID] || h.Zones[e.Zone] }
+
+// Hold drains these servers in place of those that were held before: nothing new goes to them from here on. It changes nothing for
+// servers that stay held or stay free.
+func (l *Loop) Hold(h Held) {
 	l.post(func() {
 		was, changed := l.held, false
-		l.held = servers
+		l.held = h
 		all := List{Full: true}
 		if l.version != nil {
 			all.Version = *l.version
 		}
 		l.ready = 0
-		for id, e := range l.listed {
-			changed = changed || e.State == decide.Ready && was[id] != servers[id]
+		for _, e := range l.listed {
+			changed = changed || e.State == decide.Ready && was.has(e) != h.has(e)
 			if l.effective(e).State == decide.Ready {
 				l.ready++
 			}
@@ -26,24 +34,43 @@
 	})
 }
 
-// Left is the number of attempts that are under way at each of these servers. ok is false once the loop has ended.
-func (l *Loop) Left(servers map[decide.ServerID]bool) (left map[decide.ServerID]int, ok bool) {
-	left = map[decide.ServerID]int{}
+// Left is the number of attempts that are under way at these servers, and at those that are not listed any more, where a zone is
+// among them. ok is false once the loop has ended.
+func (l *Loop) Left(h Held) (n int, ok bool) {
 	ok = l.post(func() {
 		for _, r := range l.requests {
 			for _, t := range r.attempts {
-				if !t.ended && servers[t.server] {
-					left[t.server]++
+				e, listed := l.listed[t.server]
+				if !t.ended && (h.Servers[t.server] || listed && h.Zones[e.Zone] || !listed && len(h.Zones) > 0) {
+					n++
 				}
 			}
 		}
 	})
-	return left, ok
+	return n, ok
+}
+
+// Open is the number of clients' requests that have not ended. ok is false once the loop has ended.
+func (l *Loop) Open() (n int, ok bool) {
+	ok = l.post(func() { n = len(l.requests) })
+	return n, ok
+}
+
+// Suspects are the names of the servers that the module takes for dead.
+func (l *Loop) Suspects() (names []string) {
+	l.post(func() {
+		for _, id := range l.module.Suspects() {
+			if e, ok := l.listed[id]; ok && e.Name != "" {
+				names = append(names, e.Name)
+			}
+		}
+	})
+	return names
 }
 
 // effective is an entry as it is in force: a held server drains.
 func (l *Loop) effective(e Entry) Entry {
-	if e.State == decide.Ready && l.held[e.ID] {
+	if e.State == decide.Ready && l.held.has(e) {
 		e.State = decide.Draining
 	}
 	return e
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -64,7 +64,7 @@
 	queue     []decide.Event
 	handling  bool
 	listed    map[decide.ServerID]Entry // but for those that are gone; as membership tells them
-	held      map[decide.ServerID]bool  // drained all the same
+	held      Held                      // drained all the same
 	ready     int                       // of the listed ones, those that are in force as ready
 	version   *uint64                   // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
@@ -616,11 +616,12 @@
 // take puts a list, or a part of it, in force.
 func (l *Loop) take(n List, kind decide.ListKind) {
 	e := decide.ListUpdate{Kind: kind, Version: n.Version}
-	if len(l.held) > 0 {
+	holds := len(l.held.Servers)+len(l.held.Zones) > 0
+	if holds {
 		n.Entries = slices.Clone(n.Entries)
 	}
 	for i := range n.Entries {
-		if len(l.held) > 0 {
+		if holds {
 			n.Entries[i] = l.effective(n.Entries[i])
 		}
 		e.Entries = append(e.Entries, n.Entries[i].Server)
--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -67,18 +67,50 @@
 
 // why a server is out, for whatever reason; empty: it is in.
 func (m *Machine) outWhy(id string) string {
-	if m.s.Outs[ServerTarget(id)] != nil {
+	s := m.s.Servers[id]
+	switch {
+	case m.s.Outs[ServerTarget(id)] != nil:
 		return "drained"
-	}
-	switch s := m.s.Servers[id]; s.State {
-	case Draining:
+	case m.s.Outs[ZoneTarget(s.Zone)] != nil:
+		return "drained with its zone"
+	case s.State == Draining:
 		return "draining in the registry"
-	case Gone:
+	case s.State == Gone:
 		return "gone from the registry"
+	case s.Dead:
+		return "found dead by the nodes"
+	}
+	return ""
+}
+
+// nodeWhy a node is out; empty: it is in.
+func (m *Machine) nodeWhy(name string) string {
+	n := m.s.Nodes[name]
+	switch {
+	case m.s.Outs[NodeTarget(name)] != nil:
+		return "drained"
+	case n.State != Live:
+		return "session " + n.State
+	case n.Leaving:
+		return "leaving"
 	}
 	return ""
 }
 
+// heldBy is the hold that keeps a member in; nil: none.
+func (m *Machine) heldBy(on, name string) *fleetpb.Hold {
+	targets := []string{Everything, NodeTarget(name)}
+	if on == "servers" {
+		targets = []string{Everything, ServerTarget(name), ZoneTarget(m.s.Servers[name].Zone)}
+	}
+	for _, t := range targets {
+		if h := m.s.Holds[t]; h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
 func groupOf(b *fleetpb.Budget, zone, kind string, cell int32) string {
 	switch b.By {
 	case "zone":
@@ -91,8 +123,8 @@
 	return "fleet"
 }
 
-// groups gives the members of each group of a budget. also is counted as out.
-func (m *Machine) groups(b *fleetpb.Budget, also []string) map[string][]member {
+// groups gives the members of each group of a budget. Those in also are counted as out, for the reason there.
+func (m *Machine) groups(b *fleetpb.Budget, also map[string]string) map[string][]member {
 	g := map[string][]member{}
 	add := func(group string, n member) {
 		if b.Only == "" || group == b.By+" "+b.Only {
@@ -101,21 +133,18 @@
 	}
 	if b.On == "nodes" {
 		for _, name := range slices.Sorted(maps.Keys(m.s.Nodes)) {
-			n := m.s.Nodes[name]
-			why := ""
-			if n.State != Live {
-				why = "session " + n.State
-			} else if n.Leaving {
-				why = "leaving"
+			why := m.nodeWhy(name)
+			if why == "" {
+				why = also[name]
 			}
-			add(groupOf(b, n.Zone, "", 0), member{name, 1, why})
+			add(groupOf(b, m.s.Nodes[name].Zone, "", 0), member{name, 1, why})
 		}
 		return g
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.s.Servers)) {
 		s, why := m.s.Servers[id], m.outWhy(id)
-		if why == "" && slices.Contains(also, id) {
-			why = "waits before it"
+		if why == "" {
+			why = also[id]
 		}
 		weight := s.Weight
 		if !(weight > 0) || math.IsInf(weight, 0) {
@@ -164,34 +193,47 @@
 	return ""
 }
 
-// mayGo tells why a server may not be taken out now, with the budget's name and figures; empty: it may. Servers that others wait
-// for count as out where they share a group with it, so that nobody who comes later goes before them. One that is out anyway
+// mayGo tells why a target may not be taken out now, with the name of the hold or the budget and its figures; empty: it may. Targets that
+// others wait for count as out where they share a group with it, so that nobody who comes later goes before them. What is out anyway
 // costs nothing.
-func (m *Machine) mayGo(id string, ahead []string) string {
-	s := m.s.Servers[id]
-	if s == nil {
-		return id + " is not known"
+func (m *Machine) mayGo(target string, ahead []string) string {
+	on, names, err := m.members(target)
+	if err != nil {
+		return err.Error()
 	}
-	if m.outWhy(id) != "" {
-		return ""
+	also := map[string]string{}
+	for _, t := range ahead {
+		if o, waiting, err := m.members(t); err == nil && o == on {
+			for _, name := range waiting {
+				also[name] = "waits before it"
+			}
+		}
 	}
-	for _, b := range m.s.Budgets {
-		if b.On != "servers" {
+	newly := false
+	for _, name := range names {
+		if on == "servers" && m.outWhy(name) != "" || on == "nodes" && m.nodeWhy(name) != "" {
 			continue
 		}
-		name := groupOf(b, s.Zone, s.Kind, s.Cell)
-		members := m.groups(b, ahead)[name]
-		if len(members) == 0 {
+		if h := m.heldBy(on, name); h != nil {
+			return fmt.Sprintf("%s is held by %s: %s", h.Target, h.By, h.Why)
+		}
+		also[name], newly = "asked for", true
+	}
+	if !newly {
+		return ""
+	}
+	for _, b := range m.s.Budgets {
+		if b.On != on {
 			continue
 		}
-		for i := range members {
-			if members[i].name == id {
-				members[i].out = "asked for"
+		g := m.groups(b, also)
+		for _, name := range slices.Sorted(maps.Keys(g)) {
+			if !slices.ContainsFunc(g[name], func(x member) bool { return x.out == "asked for" }) {
+				continue
+			}
+			if one := groupFrom(b, name, g[name]); one.Over() != "" {
+				return fmt.Sprintf("budget %s, %s: %s: %s", b.Name, name, one.Over(), strings.Join(one.Out, ", "))
 			}
-		}
-		g := groupFrom(b, name, members)
-		if over := g.Over(); over != "" {
-			return fmt.Sprintf("budget %s, %s: %s: %s", b.Name, name, over, strings.Join(g.Out, ", "))
 		}
 	}
 	return ""
--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -19,16 +20,15 @@
 	if m.queued(d.Target) >= 0 {
 		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: d.Target + " waits already"}
 	}
-	id, ok := strings.CutPrefix(d.Target, "server/")
-	if !ok || m.s.Servers[id] == nil {
-		return invalid("drain: no such server in the registry's list: %s", d.Target)
+	if _, _, err := m.members(d.Target); err != nil {
+		return invalid("drain: %v", err)
 	}
 	if d.Force {
 		o := m.grant(d)
 		m.log(d.By, "drain of %s FORCED past the budgets, epoch %d: %s", d.Target, o.Epoch, d.Why)
 		return done(o.Epoch)
 	}
-	why := m.mayGo(id, m.ahead(len(m.s.Queue)))
+	why := m.mayGo(d.Target, m.ahead(len(m.s.Queue)))
 	if why == "" {
 		o := m.grant(d)
 		m.log(d.By, "drain of %s granted, epoch %d: %s", d.Target, o.Epoch, d.Why)
@@ -79,24 +79,49 @@
 	return done(m.s.Epoch)
 }
 
-// ahead are the servers that the first n of the queue wait for: whoever comes later may not take their room.
-func (m *Machine) ahead(n int) []string {
-	var ids []string
+// members gives what a target takes out: servers or nodes, by their names in order.
+func (m *Machine) members(target string) (on string, names []string, err error) {
+	kind, name, _ := strings.Cut(target, "/")
+	switch {
+	case kind == "server" && m.s.Servers[name] != nil:
+		return "servers", []string{name}, nil
+	case kind == "server":
+		return "", nil, fmt.Errorf("no such server in the registry's list: %s", target)
+	case kind == "node" && m.s.Nodes[name] != nil:
+		return "nodes", []string{name}, nil
+	case kind == "node":
+		return "", nil, fmt.Errorf("no node %s has had a session", name)
+	case kind == "zone":
+		for _, id := range slices.Sorted(maps.Keys(m.s.Servers)) {
+			if m.s.Servers[id].Zone == name {
+				names = append(names, id)
+			}
+		}
+		if len(names) == 0 {
+			return "", nil, fmt.Errorf("no server of the registry's list is in zone %s", name)
+		}
+		return "servers", names, nil
+	}
+	return "", nil, fmt.Errorf("want server/NAME, node/NAME or zone/NAME, have %.50q", target)
+}
+
+// ahead are the targets that the first n of the queue wait for: whoever comes later may not take their room.
+func (m *Machine) ahead(n int) (targets []string) {
 	for _, w := range m.s.Queue[:n] {
-		ids = append(ids, strings.TrimPrefix(w.Drain.Target, "server/"))
+		targets = append(targets, w.Drain.Target)
 	}
-	return ids
+	return targets
 }
 
 // serveQueue grants what fits now, first come first, and lets go of what has waited for too long.
 func (m *Machine) serveQueue() {
 	for i := 0; i < len(m.s.Queue); {
 		w := m.s.Queue[i]
-		id := strings.TrimPrefix(w.Drain.Target, "server/")
-		why := m.mayGo(id, m.ahead(i))
+		why := m.mayGo(w.Drain.Target, m.ahead(i))
+		_, _, err := m.members(w.Drain.Target)
 		switch {
-		case m.s.Servers[id] == nil:
-			m.log(w.Drain.By, "drain of %s dropped: the server is no more", w.Drain.Target)
+		case err != nil:
+			m.log(w.Drain.By, "drain of %s dropped: %v", w.Drain.Target, err)
 		case why == "":
 			o := m.grant(w.Drain)
 			m.log(w.Drain.By, "drain of %s granted after %d ms in the queue, epoch %d: %s", w.Drain.Target, m.s.NowMs-w.AskedMs, o.Epoch, w.Drain.Why)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,9 +39,18 @@
 	Gone     = "gone"
 )
 
-// ServerTarget names a server as the target of a drain.
+// Everything is the target of a hold on all that there is.
+const Everything = "fleet"
+
+// ServerTarget names a server as the target of a drain, NodeTarget a node, ZoneTarget all servers of a zone.
 func ServerTarget(id string) string { return "server/" + id }
 
+// NodeTarget names a node.
+func NodeTarget(name string) string { return "node/" + name }
+
+// ZoneTarget names all servers of a zone.
+func ZoneTarget(zone string) string { return "zone/" + zone }
+
 // Machine is the state machine. It is not safe for concurrent use.
 type Machine struct{ s *fleetpb.State }
 
@@ -60,6 +69,9 @@
 	if s.Outs == nil {
 		s.Outs = map[string]*fleetpb.Out{}
 	}
+	if s.Holds == nil {
+		s.Holds = map[string]*fleetpb.Hold{}
+	}
 	return s
 }
 
@@ -150,6 +162,10 @@
 		return m.withdraw(w.Withdraw)
 	case *fleetpb.Entry_Forget:
 		return m.forget(w.Forget)
+	case *fleetpb.Entry_Hold:
+		return m.hold(w.Hold)
+	case *fleetpb.Entry_Observed:
+		return m.observed(w.Observed)
 	case *fleetpb.Entry_Clock:
 		return done(m.s.Epoch)
 	}
@@ -274,6 +290,7 @@
 		now := proto.CloneOf(s)
 		now.SinceMs = m.s.NowMs
 		if was != nil {
+			now.Dead = was.Dead
 			if was.State == s.State {
 				now.SinceMs = was.SinceMs
 			}
@@ -286,6 +303,43 @@
 	return done(m.s.Epoch)
 }
 
+// observed notes which servers the nodes find dead.
+func (m *Machine) observed(o *fleetpb.Observed) *fleetpb.Result {
+	for _, id := range slices.Sorted(maps.Keys(m.s.Servers)) {
+		s := m.s.Servers[id]
+		if dead := slices.Contains(o.Dead, id); dead != s.Dead {
+			s.Dead = dead
+			word := "dead"
+			if !dead {
+				word = "alive again"
+			}
+			m.log("nodes", "server %s found %s by the nodes", id, word)
+		}
+	}
+	return done(m.s.Epoch)
+}
+
+// hold keeps a target in, or lets it go again.
+func (m *Machine) hold(h *fleetpb.Hold) *fleetpb.Result {
+	if err := text(h.Target, h.By, h.Why); err != nil {
+		return invalid("hold: %v", err)
+	}
+	if h.Lift {
+		if m.s.Holds[h.Target] == nil {
+			return invalid("hold: %s is not held", h.Target)
+		}
+		delete(m.s.Holds, h.Target)
+		m.log(h.By, "hold on %s lifted: %s", h.Target, h.Why)
+		return done(m.next())
+	}
+	if _, _, err := m.members(h.Target); err != nil && h.Target != Everything {
+		return invalid("hold: %v", err)
+	}
+	m.s.Holds[h.Target] = h
+	m.log(h.By, "hold on %s: %s", h.Target, h.Why)
+	return done(m.next())
+}
+
 // stopped notes what nodes say of drains. Words of an older session, or of an older drain, are nothing.
 func (m *Machine) stopped(s *fleetpb.Stopped) *fleetpb.Result {
 	for _, a := range s.Acks {
@@ -358,9 +412,10 @@
 		return p
 	}
 	p.Granted, p.Epoch = true, o.Epoch
+	node, alone := strings.CutPrefix(target, "node/") // of a node itself only its own word counts
 	for _, name := range slices.Sorted(maps.Keys(m.s.Nodes)) {
 		n := m.s.Nodes[name]
-		if o.Heard[name] == n.Epoch {
+		if o.Heard[name] == n.Epoch || alone && name != node {
 			continue
 		}
 		switch n.State {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -43,6 +43,10 @@
 		e.What = &fleetpb.Entry_Stopped{Stopped: &fleetpb.Stopped{Acks: []*fleetpb.Ack{x}}}
 	case *fleetpb.Forget:
 		e.What = &fleetpb.Entry_Forget{Forget: x}
+	case *fleetpb.Hold:
+		e.What = &fleetpb.Entry_Hold{Hold: x}
+	case *fleetpb.Observed:
+		e.What = &fleetpb.Entry_Observed{Observed: x}
 	case *fleetpb.Clock:
 		e.What = &fleetpb.Entry_Clock{Clock: x}
 	}
@@ -147,6 +151,52 @@
 	}
 }
 
+// A zone goes out whole or not at all; a node by its own word alone; what is held stays in; what nodes find dead is out.
+func TestOtherTargets(t *testing.T) {
+	w := newWorld(&fleetpb.Budget{Name: "half", On: "servers", By: "fleet", MostShare: 0.5}, &fleetpb.Budget{Name: "nodes", On: "nodes", By: "fleet", Bounded: true, MostOut: 1})
+	want := func(what string, r *fleetpb.Result, code fleetpb.Result_Code, reason string) {
+		t.Helper()
+		if r.Code != code || !strings.Contains(r.Reason, reason) {
+			t.Errorf("%s: %v, want %v: %s", what, r, code, reason)
+		}
+	}
+	drain := func(target string) *fleetpb.Result { return w.say("", &fleetpb.Drain{Target: target, By: "eva"}) }
+	w.say("", &fleetpb.Observed{Dead: []string{"s-1", "s-9"}})
+	want("a zone beside a dead server", drain("zone/a"), fleetpb.Result_REFUSED, "budget half, fleet: 5 of 8 out, 4 at most (0.5 of them): s-0 (asked for), s-1 (found dead by the nodes)")
+	if n := len(w.State().Outs); n != 0 {
+		t.Errorf("%d outs of a zone that was refused", n)
+	}
+	w.say("", &fleetpb.Observed{})
+	want("a zone", drain("zone/a"), fleetpb.Result_DONE, "")
+	want("a server of it", drain("server/s-0"), fleetpb.Result_DONE, "")
+	want("another zone's server", drain("server/s-1"), fleetpb.Result_REFUSED, "s-2 (drained with its zone)")
+	w.say("", &fleetpb.Return{Target: "zone/a"})
+	want("no zone", drain("zone/x"), fleetpb.Result_INVALID, "no server")
+	want("no kind", drain("s-1"), fleetpb.Result_INVALID, "want server/NAME")
+	want("no node", drain("node/n9"), fleetpb.Result_INVALID, "has had a session")
+
+	w.say("", &fleetpb.Hold{Target: "zone/b", By: "ole", Why: "a match"})
+	want("held with its zone", drain("server/s-1"), fleetpb.Result_REFUSED, "zone/b is held by ole: a match")
+	w.say("", &fleetpb.Hold{Target: Everything, By: "ole", Why: "a final"})
+	want("all is held", drain("server/s-2"), fleetpb.Result_REFUSED, "fleet is held by ole: a final")
+	want("by force", w.say("", &fleetpb.Drain{Target: "server/s-2", Force: true}), fleetpb.Result_DONE, "")
+	w.say("", &fleetpb.Hold{Target: Everything, Lift: true})
+	want("lifted twice", w.say("", &fleetpb.Hold{Target: Everything, Lift: true}), fleetpb.Result_INVALID, "is not held")
+
+	n1, n2 := w.open("n1"), w.open("n2")
+	out := drain("node/n1")
+	want("a node", out, fleetpb.Result_DONE, "")
+	want("another", drain("node/n2"), fleetpb.Result_REFUSED, "budget nodes, fleet: 2 of 2 out, 1 at most: n1 (drained), n2 (asked for)")
+	w.say("", &fleetpb.Ack{Node: "n2", Session: n2, Target: "node/n1", Epoch: out.Epoch})
+	if p := w.Proof("node/n1"); p.Proven || strings.Join(p.Unheard, " ") != "n1" {
+		t.Errorf("another node's word counts: %+v", p)
+	}
+	w.say("", &fleetpb.Ack{Node: "n1", Session: n1, Target: "node/n1", Epoch: out.Epoch})
+	if p := w.Proof("node/n1"); !p.Proven {
+		t.Errorf("%+v", p)
+	}
+}
+
 // A drain is proven once every node has said so in its present session, and not while one that lapsed has not.
 func TestProof(t *testing.T) {
 	w := newWorld(zoneBudget(2))
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -58,6 +58,7 @@
 	drainEnd  atomic.Pointer[time.Time] // set once the node is to end
 	closing   atomic.Bool               // it takes no more requests
 	leaving   atomic.Bool               // each answer is the last on its connection
+	away      atomic.Bool               // clients are to go elsewhere
 	open      atomic.Int64              // requests that the module has
 	maxOpen   int64
 	bodies    atomic.Int64 // bytes of bodies that are held
@@ -99,7 +100,10 @@
 func (f *Handler) LastCall() { f.closing.Store(true) }
 
 // Ready tells whether the node can serve.
-func (f *Handler) Ready() bool { return f.drainEnd.Load() == nil && f.loop.Able() }
+func (f *Handler) Ready() bool { return f.drainEnd.Load() == nil && !f.away.Load() && f.loop.Able() }
+
+// Away has the node say that it is not ready, or ends that. Clients that come all the same are served.
+func (f *Handler) Away(on bool) { f.away.Store(on) }
 
 func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	doubtful := f.Doubtful != nil && f.Doubtful(r)
