Rig of agreement's costs; a connection is good for the name that it was made for

TestCalls showed that a call to another name at the same address went over the connection that was up (internal/link/calls.go, line): lines are kept by name and address now.

--- /dev/null
+++ b/cmd/rig/agreement.go
@@ -0,0 +1,290 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"starlingvalve/internal/control"
+	"starlingvalve/internal/core"
+	agreed "starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/fleetpb"
+	"starlingvalve/internal/standin"
+)
+
+// agreementRig measures what agreement costs: how long a grant takes at 3 and 5 voters, how long a new leader, what a log takes on disk, and
+// what 12, 300 and 1,000 sessions cost. The sessions beyond the voters' own are played by this process, each over a connection of its own.
+func agreementRig(ctx context.Context, o *options) error {
+	w, err := newWorkshop(ctx, o.binary)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	grants, kills, sizes, window := 1000, 10, []int{12, 300, 1000}, 20*time.Second
+	if o.quick {
+		grants, kills, sizes, window = 100, 2, []int{12, 100}, 5*time.Second
+	}
+	h, closeHistory, err := w.historyFile("")
+	if err != nil {
+		return err
+	}
+	defer closeHistory()
+	f, err := openZones(24, []string{"a", "b", "c"}, 4, kampklipWork(1))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for _, voters := range []int{3, 5} {
+		if err := o.grants(ctx, w, f, h, voters, grants, kills); err != nil {
+			return fmt.Errorf("%d voters: %w", voters, err)
+		}
+	}
+	return o.sessions(ctx, w, f, h, sizes, window)
+}
+
+// grants asks for drains and returns at each member by turns, then kills leaders.
+func (o *options) grants(ctx context.Context, w *workshop, f *fleet, h *history, voters, grants, kills int) error {
+	auth, err := standin.NewAuthority()
+	if err != nil {
+		return err
+	}
+	w = &workshop{dir: filepath.Join(w.dir, fmt.Sprint(voters)), binary: w.binary}
+	if err := os.Mkdir(w.dir, 0o700); err != nil {
+		return err
+	}
+	p, err := (&pack{w: w, auth: auth, registry: f.registry.Addr, voters: voters, budgets: drainsBudget, session: 5 * time.Second, tick: 100 * time.Millisecond, history: h}).
+		open(ctx, voters, []string{"a", "b", "c"})
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	name := fmt.Sprintf("agreement.voters-%d.", voters)
+	var times standin.Times
+	for i := range grants {
+		d, target := control.Knock(p.members[i%voters].socket), agreed.ServerTarget(f.servers[i%len(f.servers)].Name)
+		for _, e := range []*fleetpb.Entry{{What: &fleetpb.Entry_Drain{Drain: &fleetpb.Drain{Target: target}}}, {What: &fleetpb.Entry_Return{Return: &fleetpb.Return{Target: target}}}} {
+			e.Ask = rand.Text()
+			began := time.Now()
+			r, err := d.Ask(ctx, e)
+			if err != nil || r.Code != fleetpb.Result_DONE {
+				return fmt.Errorf("%s: %v, %w", target, r, err)
+			}
+			times.Add(time.Since(began))
+		}
+	}
+	o.out.figure(name+"grant.p50", times.Quantile(0.5).Seconds()*1e3, "ms, at the socket of each member by turns")
+	o.out.figure(name+"grant.p99", times.Quantile(0.99).Seconds()*1e3, "ms")
+	size := int64(0)
+	if info, err := os.Stat(filepath.Join(p.members[0].folder, "log.db")); err == nil {
+		size = info.Size()
+	}
+	o.out.figure(name+"disk", size, fmt.Sprintf("bytes after %d entries and more", 2*grants))
+	var away standin.Times
+	worst := time.Duration(0)
+	for range kills {
+		at := p.leader(ctx)
+		if at < 0 {
+			return errors.New("nobody leads")
+		}
+		p.members[at].kill()
+		began := time.Now()
+		d := control.Knock(p.members[(at+1)%voters].socket)
+		wait, cancel := context.WithTimeout(ctx, settleWait)
+		r, err := d.Ask(wait, &fleetpb.Entry{Ask: rand.Text(), What: &fleetpb.Entry_Withdraw{Withdraw: &fleetpb.Withdraw{Target: "server/none"}}})
+		cancel()
+		if err != nil {
+			return fmt.Errorf("after the leader was killed: %v, %w", r, err)
+		}
+		worst = max(worst, time.Since(began))
+		away.Add(time.Since(began))
+		if err := p.start(ctx, at); err != nil {
+			return err
+		}
+		if err := p.settled(ctx); err != nil {
+			return err
+		}
+	}
+	o.out.figure(name+"new-leader.p50", away.Quantile(0.5).Seconds(), "s from SIGKILL to an answer, a tick being 0.1 s")
+	o.out.figure(name+"new-leader.worst", worst.Seconds(), "s")
+	o.out.promise(worst < 5*time.Second, "%d voters: a leader that is killed is replaced within a session's life", voters)
+	return nil
+}
+
+const partySize = 200 // guests that share a wire: it carries so many and some
+
+// idleLoop is a node's loop with nothing to do.
+type idleLoop struct{}
+
+func (idleLoop) Hold(core.Held)             {}
+func (idleLoop) Left(core.Held) (int, bool) { return 0, true }
+func (idleLoop) Open() (int, bool)          { return 0, true }
+func (idleLoop) Suspects() []string         { return nil }
+func (idleLoop) Listed() core.List          { return core.List{} }
+
+// sessions has ever more nodes keep sessions, and proves drains among them.
+func (o *options) sessions(ctx context.Context, w *workshop, f *fleet, h *history, sizes []int, window time.Duration) error {
+	auth, err := standin.NewAuthority()
+	if err != nil {
+		return err
+	}
+	const voters = 3
+	p, err := (&pack{w: w, auth: auth, registry: f.registry.Addr, voters: voters, budgets: drainsBudget, session: 5 * time.Second, tick: 100 * time.Millisecond, history: h}).
+		open(ctx, voters, []string{"a", "b", "c"})
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	// The guests' ways lead through wires of their own, some for each party of them: what these carry is what sessions cost.
+	var wires [][]*standin.Wire
+	defer func() {
+		for _, party := range wires {
+			for _, wire := range party {
+				wire.Close()
+			}
+		}
+	}()
+	carried := func() (datagrams, bytes int64) {
+		for _, party := range wires {
+			for _, wire := range party {
+				d, b := wire.Carried()
+				datagrams, bytes = datagrams+d, bytes+b
+			}
+		}
+		return datagrams, bytes
+	}
+	var guests []*control.Control
+	var running sync.WaitGroup
+	defer func() {
+		for _, g := range guests {
+			go g.Close()
+		}
+		running.Wait()
+	}()
+	for _, size := range sizes {
+		for i := len(guests) + voters; i < size; i++ {
+			if len(guests)%partySize == 0 {
+				var party []*standin.Wire
+				for _, v := range p.members {
+					wire, err := standin.NewWire(v.udp)
+					if err != nil {
+						return err
+					}
+					party = append(party, wire)
+				}
+				wires = append(wires, party)
+			}
+			g, err := p.guest(fmt.Sprintf("n%d", i+1), wires[len(wires)-1])
+			if err != nil {
+				return err
+			}
+			guests = append(guests, g)
+			running.Go(g.Run)
+		}
+		began := time.Now()
+		if err := p.sessionsLive(ctx, size); err != nil {
+			return err
+		}
+		name := fmt.Sprintf("agreement.sessions-%d.", size)
+		o.out.figure(name+"live", time.Since(began).Seconds(), "s until all have a session")
+		at := p.leader(ctx)
+		if at < 0 {
+			return errors.New("nobody leads")
+		}
+		door := control.Knock(p.members[at].socket)
+		before, err := door.Here(ctx)
+		if err != nil {
+			return err
+		}
+		d0, b0 := carried()
+		cpu0 := p.members[at].proc.cpu()
+		sleepFor(ctx, window)
+		after, err := door.Here(ctx)
+		if err != nil {
+			return err
+		}
+		d1, b1 := carried()
+		seconds := window.Seconds()
+		o.out.figure(name+"entries", float64(after.Applied-before.Applied)/seconds, "entries/s of the log while nothing happens")
+		o.out.figure(name+"datagrams", float64(d1-d0)/seconds, "datagrams/s, both ways, with the voters")
+		o.out.figure(name+"bytes", float64(b1-b0)/seconds/float64(size), "bytes/s a node")
+		o.out.figure(name+"leader.cpu", (p.members[at].proc.cpu()-cpu0).Seconds()/seconds, "of a core")
+		o.out.figure(name+"leader.memory", p.members[at].proc.peakMemory(), "KiB (VmHWM)")
+		o.out.promise(after.Applied == before.Applied, "%d sessions are kept alive without an entry of the log", size)
+		var times standin.Times
+		for i := range 5 {
+			took, err := proveDrain(ctx, door, agreed.ServerTarget(f.servers[i].Name))
+			if err != nil {
+				return err
+			}
+			times.Add(took)
+		}
+		o.out.figure(name+"proof.p50", times.Quantile(0.5).Seconds()*1e3, "ms from the ask to the proof that all nodes have stopped")
+	}
+	return nil
+}
+
+// guest is a node without clients, in this process.
+func (p *pack) guest(name string, wires []*standin.Wire) (*control.Control, error) {
+	m := &packed{name: name, zone: "a", wires: wires}
+	base := filepath.Join(p.w.dir, name)
+	m.folder, m.socket, m.file = base+"-fleet", base+".sock", base+"-fleet.toml"
+	if err := p.write(m); err != nil {
+		return nil, err
+	}
+	c, err := control.Load(m.file, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return control.Open(c, idleLoop{}, func(bool) {}, slog.New(slog.DiscardHandler))
+}
+
+func (p *pack) sessionsLive(ctx context.Context, want int) error {
+	for end := time.Now().Add(2 * settleWait); ; sleepFor(ctx, 50*time.Millisecond) {
+		live := 0
+		s, err := control.Knock(p.members[0].socket).State(ctx)
+		if err == nil {
+			for _, n := range s.Nodes {
+				if n.State == agreed.Live {
+					live++
+				}
+			}
+		}
+		if live == want {
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("%d of %d nodes have a session: %w", live, want, errors.Join(err, ctx.Err()))
+		}
+	}
+}
+
+// proveDrain drains a target, waits for the proof, and brings it back.
+func proveDrain(ctx context.Context, d *control.Door, target string) (time.Duration, error) {
+	began := time.Now()
+	if r, err := d.Ask(ctx, &fleetpb.Entry{Ask: rand.Text(), What: &fleetpb.Entry_Drain{Drain: &fleetpb.Drain{Target: target}}}); err != nil || r.Code != fleetpb.Result_DONE {
+		return 0, fmt.Errorf("%s: %v, %w", target, r, err)
+	}
+	took := time.Duration(0)
+	for end := began.Add(settleWait); ; sleepFor(ctx, 5*time.Millisecond) {
+		s, err := d.State(ctx)
+		if err != nil {
+			return 0, err
+		}
+		proof := agreed.From(s).Proof(target)
+		if proof.Proven {
+			took = time.Since(began)
+			break
+		}
+		if time.Now().After(end) {
+			return 0, fmt.Errorf("%s: not proven within %v: %+v", target, settleWait, proof)
+		}
+	}
+	_, err := d.Ask(ctx, &fleetpb.Entry{Ask: rand.Text(), What: &fleetpb.Entry_Return{Return: &fleetpb.Return{Target: target}}})
+	return took, err
+}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -46,7 +46,8 @@
 }
 
 var rigs = map[string]rig{
-	"demo": {"two halls on loopback, of which one hands work to the other, until interrupted", demo, nil},
+	"agreement": {"what agreement costs: grants, a new leader, 12 to 1,000 sessions", agreementRig, nil},
+	"demo":      {"two halls on loopback, of which one hands work to the other, until interrupted", demo, nil},
 	"gateway": {"two halls with two nodes each and a link that is cut in many ways, beside the same without a link", gatewayRig, func(fs *pflag.FlagSet, o *options) {
 		fs.IntVar(&o.cuts, "cuts", 60, "how often the link breaks")
 		fs.IntVar(&o.requests, "requests", 20_000, "how many orders at least")
--- a/cmd/rig/pack.go
+++ b/cmd/rig/pack.go
@@ -28,6 +28,8 @@
 	registry string
 	voters   int // the first so many of the members
 	budgets  string
+	session  time.Duration // a session's life
+	tick     time.Duration
 	members  []*packed
 	history  *history
 }
@@ -97,16 +99,19 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &pack{w: w, auth: auth, registry: registry, voters: voters, budgets: budgets, history: h}
+	return (&pack{w: w, auth: auth, registry: registry, voters: voters, budgets: budgets, session: packSession, tick: packTick, history: h}).open(ctx, n, zones)
+}
+
+func (p *pack) open(ctx context.Context, n int, zones []string) (_ *pack, err error) {
 	for i := range n {
-		m := &packed{name: fmt.Sprintf("n%d", i+1), zone: zones[i%len(zones)], wires: make([]*standin.Wire, voters)}
+		m := &packed{name: fmt.Sprintf("n%d", i+1), zone: zones[i%len(zones)], wires: make([]*standin.Wire, p.voters)}
 		if m.listen, err = freePort("tcp"); err != nil {
 			return nil, err
 		}
 		if m.udp, err = freePort("udp"); err != nil {
 			return nil, err
 		}
-		base := filepath.Join(w.dir, m.name)
+		base := filepath.Join(p.w.dir, m.name)
 		m.folder, m.socket, m.file = base+"-fleet", base+".sock", base+"-fleet.toml"
 		p.members = append(p.members, m)
 	}
@@ -143,15 +148,17 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "[node]\nname = %q\ndomain = %q\nzone = %q\ncertificate = %q\nkey = %q\nroots = %q\nfolder = %q\nsocket = %q\n",
 		m.name, packDomain, m.zone, base+".crt", base+".key", base+".roots", m.folder, m.socket)
-	if slices.Index(p.members, m) < p.voters {
+	if i := slices.Index(p.members, m); i >= 0 && i < p.voters {
 		fmt.Fprintf(&b, "listen = %q\n", m.udp)
 	}
-	fmt.Fprintf(&b, "\n[timing]\nsession_ms = %d\ntick_ms = %d\n", packSession.Milliseconds(), packTick.Milliseconds())
+	fmt.Fprintf(&b, "\n[timing]\nsession_ms = %d\ntick_ms = %d\n", p.session.Milliseconds(), p.tick.Milliseconds())
 	for i, v := range p.members[:p.voters] {
 		addr := v.udp
 		if v != m {
-			if m.wires[i], err = standin.NewWire(v.udp); err != nil {
-				return err
+			if m.wires[i] == nil {
+				if m.wires[i], err = standin.NewWire(v.udp); err != nil {
+					return err
+				}
 			}
 			addr = m.wires[i].Addr
 		}
--- a/internal/agree/core_test.go
+++ b/internal/agree/core_test.go
@@ -34,14 +34,15 @@
 // memory is a disk that outlives the core that writes to it, and can fail.
 type memory struct {
 	Kept
-	fails bool
+	fails  bool
+	breaks bool // after the next write: the process dies between append and all that follows
 }
 
 var errDisk = errors.New("no space left")
 
 func (d *memory) Load() (Kept, error) { return d.Kept, nil }
 
-func (d *memory) Save(hs *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error {
+func (d *memory) Save(hs *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) (err error) {
 	if d.fails {
 		return errDisk
 	}
@@ -57,6 +58,10 @@
 		}
 		d.Entries = append(d.Entries, proto.CloneOf(e))
 	}
+	if d.breaks {
+		d.breaks = false
+		defer func() { err = errDisk }()
+	}
 	for len(d.Entries) > 0 && d.Entries[0].GetIndex() <= d.Snapshot.GetMetadata().GetIndex() {
 		d.Entries = d.Entries[1:]
 	}
@@ -221,6 +226,8 @@
 				}
 			case s.r.IntN(60) == 0:
 				s.disks[s.r.IntN(n)].fails = true
+			case s.r.IntN(20) == 0:
+				s.disks[s.r.IntN(n)].breaks = true
 			}
 			if x := s.leader(); x >= 0 && s.r.IntN(2) == 0 {
 				s.propose(x, fmt.Sprintf("w%d", i))
@@ -229,7 +236,7 @@
 		}
 		s.cut = nil
 		for i := range n {
-			s.disks[i].fails = false
+			s.disks[i].fails, s.disks[i].breaks = false, false
 			if s.cores[i] == nil {
 				s.start(i)
 			}
--- a/internal/control/door.go
+++ b/internal/control/door.go
@@ -104,7 +104,8 @@
 	Voter   string            `json:"voter,omitempty"` // leads, follows, waits, stopped; empty: it is none
 	Term    uint64            `json:"term,omitempty"`
 	Leader  string            `json:"leader,omitempty"`
-	Why     string            `json:"why,omitempty"` // of a voter that has stopped
+	Why     string            `json:"why,omitempty"`     // of a voter that has stopped
+	Applied uint64            `json:"applied,omitempty"` // entries of the log
 }
 
 // Here tells it.
@@ -125,7 +126,7 @@
 		return h
 	}
 	s := m.Status()
-	h.Term, h.Voter = s.Term, "follows"
+	h.Term, h.Voter, h.Applied = s.Term, "follows", s.Applied
 	if s.Leads {
 		h.Voter = "leads"
 	}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -71,6 +71,7 @@
 	dead     map[string][]string // servers, by the nodes that find them dead
 
 	orders atomic.Pointer[orders]
+	least  atomic.Uint32 // level that all members understand
 }
 
 type orders struct {
@@ -92,6 +93,7 @@
 	}
 	v := &voter{c: c, listed: listed, log: log, machine: fleet.New(), disk: disk, changed: make(chan struct{}), heard: map[string]time.Time{}, lapsing: map[string]uint64{}, dead: map[string][]string{}}
 	v.birth, v.founding = disk.Birth()
+	v.least.Store(fleet.Level)
 	return v, nil
 }
 
@@ -212,7 +214,7 @@
 			return
 		}
 		snap := m.GetType() == raftpb.MsgSnap
-		v.calls.Post(o.Address, kindRaft, raw, func(err error) {
+		v.calls.Post(v.c.full(o.Name), o.Address, kindRaft, raw, func(err error) {
 			if snap {
 				v.member.SnapshotSent(m.GetTo(), err == nil)
 			}
@@ -231,7 +233,7 @@
 	}
 	for end := time.Now().Add(within); m.Status().Leads && time.Now().Before(end); time.Sleep(v.c.Tick / 4) {
 		for _, o := range v.c.Voters {
-			if o.Name != v.c.Name && v.calls.Up(o.Address) {
+			if o.Name != v.c.Name && v.calls.Up(v.c.full(o.Name), o.Address) {
 				m.Transfer(voterID(o.Name))
 				break
 			}
@@ -264,6 +266,7 @@
 
 // news is told by the member's goroutine, which has the machine.
 func (v *voter) news() {
+	v.least.Store(v.machine.LeastLevel())
 	o := v.machine.Orders()
 	o.Log = v.founding
 	if was := v.orders.Load(); was == nil || was.version != o.Version {
@@ -382,7 +385,11 @@
 
 // propose appends an entry, stamped with this leader's clock.
 func (v *voter) propose(ctx context.Context, m *agree.Member, e *fleetpb.Entry) (*fleetpb.Result, error) {
+	// No entry of this program needs more than the first level. One that does waits until all members understand it.
 	e.AtMs, e.Level = time.Now().UnixMilli(), 1
+	if least := v.least.Load(); e.Level > least {
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: fmt.Sprintf("an entry of level %d, and some member understands %d only: release it first", e.Level, least)}, nil
+	}
 	raw, err := proto.Marshal(e)
 	if err != nil {
 		return nil, err
--- a/internal/link/calls.go
+++ b/internal/link/calls.go
@@ -45,7 +45,7 @@
 
 	mu      sync.Mutex
 	callers int
-	lines   map[string]*line // by address
+	lines   map[string]*line // by name and address: a connection is good for the name that its certificate had to hold
 }
 
 // line is the way to one address.
@@ -173,21 +173,22 @@
 	}
 }
 
-func (c *Calls) line(addr string) *line {
+func (c *Calls) line(name, addr string) *line {
+	key := name + " " + addr
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.lines[addr]
+	l := c.lines[key]
 	if l == nil {
 		l = &line{turn: make(chan struct{}, 1), posts: make(chan post, postQueue)}
 		l.turn <- struct{}{}
-		c.lines[addr] = l
+		c.lines[key] = l
 	}
 	return l
 }
 
 // reach gives the connection to the node of that name at an address, made anew if it is lost.
 func (c *Calls) reach(ctx context.Context, name, addr string) (*quic.Conn, error) {
-	l := c.line(addr)
+	l := c.line(name, addr)
 	select {
 	case <-l.turn:
 	case <-ctx.Done():
@@ -220,9 +221,9 @@
 	return conn, nil
 }
 
-// Up tells whether there is a connection to an address at this moment.
-func (c *Calls) Up(addr string) bool {
-	l := c.line(addr)
+// Up tells whether there is a connection to a node at this moment.
+func (c *Calls) Up(name, addr string) bool {
+	l := c.line(name, addr)
 	select {
 	case <-l.turn:
 	default:
@@ -265,9 +266,9 @@
 var errPostLost = errors.New("lost on the way")
 
 // Post sends a message to a node, perhaps. It never blocks. sent, if there is one, is told how that ended.
-func (c *Calls) Post(addr string, kind uint64, message []byte, sent func(error)) {
+func (c *Calls) Post(name, addr string, kind uint64, message []byte, sent func(error)) {
 	select {
-	case c.line(addr).posts <- post{kind, message, sent}:
+	case c.line(name, addr).posts <- post{kind, message, sent}:
 	default:
 		if sent != nil {
 			sent(errPostLost)
@@ -277,7 +278,7 @@
 
 // Keep carries posts to the node of that name at an address, until Close.
 func (c *Calls) Keep(name, addr string) {
-	l := c.line(addr)
+	l := c.line(name, addr)
 	c.work.Go(func() {
 		var st *quic.Stream
 		for {
--- /dev/null
+++ b/internal/link/calls_test.go
@@ -0,0 +1,154 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/standin"
+	"starlingvalve/internal/testkit"
+)
+
+const callDomain = "fleet.example.org"
+
+// callNode is a node of a fleet, with what has been posted to it.
+type callNode struct {
+	*Calls
+	addr string
+	mu   sync.Mutex
+	got  []string
+}
+
+func (n *callNode) posted() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return strings.Join(n.got, " ")
+}
+
+// newCaller makes a node with a certificate for that name, by an authority, that believes another one.
+func newCaller(t *testing.T, name string, by, believes *standin.Authority) *callNode {
+	t.Helper()
+	cert, _, _, err := by.Issue(name, time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &callNode{addr: udp.LocalAddr().String()}
+	n.Calls, err = NewCalls(udp, CallsOptions{Keeper: NewKeeper(&Identity{Site: name, Certificate: cert, Peers: []Peer{{Name: callDomain, Members: true, Roots: believes.Roots()}}}),
+		Log: testkit.Quiet, Posted: func(from string, kind uint64, message []byte) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.got = append(n.got, from+":"+string(message))
+		}, Handle: func(ctx context.Context, from string, kind uint64, request []byte) (uint64, []byte) {
+			if kind == 9 {
+				<-ctx.Done()
+			}
+			return kind + 1, append([]byte(from+":"), request...)
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n
+}
+
+// Calls are answered, also large ones, by whom they were meant for; names come from certificates; other authorities' nodes, and names
+// that are no member's, reach nobody.
+func TestCalls(t *testing.T) {
+	a, err := standin.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ := standin.NewAuthority()
+	n1, n2 := newCaller(t, "n1."+callDomain, a, a), newCaller(t, "n2."+callDomain, a, a)
+	ctx, cancel := context.WithTimeout(t.Context(), testkit.Patient)
+	defer cancel()
+	large := bytes.Repeat([]byte("x"), 1<<20)
+	status, answer, err := n1.Call(ctx, "n2."+callDomain, n2.addr, 4, large)
+	if err != nil || status != 5 || len(answer) != len(large)+len("n1."+callDomain+":") || !strings.HasPrefix(string(answer[:40]), "n1."+callDomain+":x") {
+		t.Errorf("status %d, %d bytes, %v", status, len(answer), err)
+	}
+	if !n1.Up("n2."+callDomain, n2.addr) || n2.Up("n1."+callDomain, n1.addr) {
+		t.Error("which connections are up")
+	}
+	for name, c := range map[string]struct {
+		from *callNode
+		to   string
+	}{
+		"another is there":    {n1, "n3." + callDomain},
+		"not of the domain":   {n1, "n2.elsewhere.example.org"},
+		"the domain itself":   {n1, callDomain},
+		"a stranger":          {newCaller(t, "n3."+callDomain, b, a), "n2." + callDomain},
+		"no member":           {newCaller(t, "n1.elsewhere.example.org", a, a), "n2." + callDomain},
+		"a member of another": {newCaller(t, "x.n1."+callDomain, a, a), "n2." + callDomain},
+		"one who trusts none": {newCaller(t, "n4."+callDomain, a, b), "n2." + callDomain},
+	} {
+		short, cancel := context.WithTimeout(ctx, 3*time.Second)
+		if _, answer, err := c.from.Call(short, c.to, n2.addr, 4, nil); err == nil {
+			t.Errorf("%s: answered %q", name, answer)
+		}
+		cancel()
+	}
+}
+
+// A call ends with its caller's time, and its handler with the call; messages come in order, and again after the receiver was cut off.
+func TestCallsCut(t *testing.T) {
+	a, err := standin.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n1, n2 := newCaller(t, "n1."+callDomain, a, a), newCaller(t, "n2."+callDomain, a, a)
+	wire, err := standin.NewWire(n2.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer wire.Close()
+	n1.Keep("n2."+callDomain, wire.Addr)
+	until := func(what string, done func() bool) {
+		t.Helper()
+		for end := time.Now().Add(testkit.Patient); !done(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: not in time; got %q", what, n2.posted())
+			}
+		}
+	}
+	for _, m := range []string{"a", "b", "c"} {
+		n1.Post("n2."+callDomain, wire.Addr, 1, []byte(m), nil)
+	}
+	until("three messages", func() bool { return len(n2.posted()) > 0 && strings.Count(n2.posted(), ":") == 3 })
+	if from := "n1." + callDomain; n2.posted() != from+":a "+from+":b "+from+":c" {
+		t.Errorf("%q", n2.posted())
+	}
+	short, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	if _, _, err := n1.Call(short, "n2."+callDomain, wire.Addr, 9, nil); err == nil {
+		t.Error("a call that is held has an answer")
+	}
+	cancel()
+	wire.Cut(true, true)
+	short, cancel = context.WithTimeout(t.Context(), 300*time.Millisecond)
+	if _, _, err := n1.Call(short, "n2."+callDomain, wire.Addr, 1, nil); err == nil {
+		t.Error("a call through a cut has an answer")
+	}
+	cancel()
+	until("the connection is given up", func() bool { return !n1.Up("n2."+callDomain, wire.Addr) })
+	wire.Cut(false, false)
+	until("messages again", func() bool {
+		n1.Post("n2."+callDomain, wire.Addr, 1, []byte("again"), nil)
+		return strings.Contains(n2.posted(), "again")
+	})
+	lost := make(chan error, postQueue+100)
+	n3 := newCaller(t, "n3."+callDomain, a, a)
+	for range postQueue + 100 { // nobody carries them
+		n3.Post("n1."+callDomain, "127.0.0.1:1", 1, nil, func(err error) { lost <- err })
+	}
+	if len(lost) != 100 {
+		t.Errorf("%d messages too many were told as lost, want 100", len(lost))
+	}
+}
