A node is a list of parts with start, drain and end; what -fleet costs a request is measured

Need: app.serve was one function with nil-checks for each part, and the agreement made one more (issue of drains and releases). Change: internal/app/parts.go (part: start, run, leave, drain, last, close, after); assemble makes them in order, what they own when the node does not start is let go of in one way. cmd/rig: recordRig's comparison on one core is 'beside', used by rig agreement too. Measured: tests of internal/app and cmd/starlingvalve under the race detector, replacement under load among them, green.

--- a/cmd/rig/agreement.go
+++ b/cmd/rig/agreement.go
@@ -45,9 +45,56 @@
 			return fmt.Errorf("%d voters: %w", voters, err)
 		}
 	}
+	if err := o.requestCost(ctx, w, h); err != nil {
+		return fmt.Errorf("a request's cost: %w", err)
+	}
 	return o.sessions(ctx, w, f, h, sizes, window)
 }
 
+const leastAgreed = 0.99 // requests a second with -fleet, over those without
+
+// requestCost measures what -fleet costs a request: two nodes on one core in turn, one of which keeps a session and follows.
+func (o *options) requestCost(ctx context.Context, w *workshop, h *history) error {
+	rounds, window := 21, 2*time.Second
+	if o.quick {
+		rounds, window = 5, time.Second
+	}
+	f, err := newFleet(tableServers, 0, 0, map[string]standin.Work{scaleClass.Name: {Bytes: answerBytes}})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	f.setLog(false)
+	p, err := openPack(ctx, w, f.registry.Addr, 3, 3, []string{"a"}, drainsBudget, h)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	m := &packed{name: "n9", zone: "a", wires: make([]*standin.Wire, p.voters)}
+	base := filepath.Join(w.dir, m.name)
+	m.folder, m.socket, m.file = base+"-fleet", base+".sock", base+"-fleet.toml"
+	if err := p.write(m); err != nil {
+		return err
+	}
+	defer func() {
+		for _, wire := range m.wires {
+			wire.Close()
+		}
+	}()
+	rate, cost, with, err := o.beside(ctx, w, f, "cost", rounds, window, "-fleet", m.file)
+	if err != nil {
+		return err
+	}
+	if err := p.sessionsLive(ctx, 4); err != nil {
+		return err
+	}
+	with.stop()
+	o.out.figure("agreement.request.rate", rate, "times the requests a second without -fleet, median of the rounds")
+	o.out.figure("agreement.request.cpu", cost, "times the processor time a request, median of the rounds")
+	o.out.promise(rate >= leastAgreed, "with -fleet at least %.2f of the requests a second", leastAgreed)
+	return nil
+}
+
 // grants asks for drains and returns at each member by turns, then kills leaders.
 func (o *options) grants(ctx context.Context, w *workshop, f *fleet, h *history, voters, grants, kills int) error {
 	auth, err := standin.NewAuthority()
--- a/cmd/rig/record.go
+++ b/cmd/rig/record.go
@@ -37,17 +37,42 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
+	rate, cost, with, err := o.beside(ctx, w, f, "record", rounds, window, "-record", file)
+	if err != nil {
+		return err
+	}
+	with.stop()
+	o.out.figure("record.rate", rate, "times the requests a second without recording, median of the rounds")
+	o.out.figure("record.cpu", cost, "times the processor time a request, median of the rounds")
+	records := 0
+	from, err := os.Open(into)
+	if err != nil {
+		return err
+	}
+	defer from.Close()
+	err = trace.Read(from, func(*trace.Record) error { records++; return nil })
+	size, _ := from.Stat()
+	o.out.figure("record.records", records, "tries recorded")
+	o.out.figure("record.bytes", float64(size.Size())/float64(max(1, records)), "bytes a try")
+	o.out.promise(err == nil && records > 0, "the trace is whole: %v", err)
+	o.out.promise(rate >= leastRecorded, "with recording at least %.2f of the requests a second", leastRecorded)
+	return nil
+}
+
+// beside measures a node with some flags beside one without, on one core in turn: the requests a second and the processor time a request, as
+// multiples of those without, medians of the rounds. The node with the flags runs on.
+func (o *options) beside(ctx context.Context, w *workshop, f *fleet, name string, rounds int, window time.Duration, args ...string) (rate, cost float64, with *node, err error) {
 	var nodes [2]*node
 	for i := range nodes {
-		opts := nodeOptions{name: fmt.Sprint("record", i), registry: f.registry.Addr, classes: []standin.Class{scaleClass}, memoryMB: 192, sockets: 1024, zone: "hall-a", coldFrom: 0.3, coldTime: time.Second}
+		opts := nodeOptions{name: fmt.Sprint(name, i), registry: f.registry.Addr, classes: []standin.Class{scaleClass}, memoryMB: 192, sockets: 1024, zone: "hall-a", coldFrom: 0.3, coldTime: time.Second}
 		if i == 1 {
-			opts.args = []string{"-record", file}
+			opts.args = args
 		}
 		if nodes[i], err = w.node(ctx, w.binary, opts); err != nil {
-			return err
+			return 0, 0, nil, err
 		}
 		if err := onCore(nodes[i].cmd.Process.Pid, runtime.NumCPU()-1); err != nil {
-			return err
+			return 0, 0, nil, err
 		}
 	}
 	r := &scaleRig{options: o}
@@ -56,7 +81,7 @@
 		var rate, cpu [2]float64
 		for i, n := range nodes {
 			if ctx.Err() != nil {
-				return ctx.Err()
+				return 0, 0, nil, ctx.Err()
 			}
 			before := n.cpu()
 			s := r.closed(ctx, n, []standin.Class{scaleClass}, 64, window, nil)
@@ -65,20 +90,5 @@
 		}
 		ratios, costs = append(ratios, rate[1]/max(rate[0], 1)), append(costs, cpu[1]/max(cpu[0], 1))
 	}
-	nodes[1].stop()
-	o.out.figure("record.rate", median(ratios), "times the requests a second without recording, median of the rounds")
-	o.out.figure("record.cpu", median(costs), "times the processor time a request, median of the rounds")
-	records := 0
-	from, err := os.Open(into)
-	if err != nil {
-		return err
-	}
-	defer from.Close()
-	err = trace.Read(from, func(*trace.Record) error { records++; return nil })
-	size, _ := from.Stat()
-	o.out.figure("record.records", records, "tries recorded")
-	o.out.figure("record.bytes", float64(size.Size())/float64(max(1, records)), "bytes a try")
-	o.out.promise(err == nil && records > 0, "the trace is whole: %v", err)
-	o.out.promise(median(ratios) >= leastRecorded, "with recording at least %.2f of the requests a second", leastRecorded)
-	return nil
+	return median(ratios), median(costs), nodes[1], nil
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -47,168 +47,210 @@
 	return serve(ctx, c, s, reload, log)
 }
 
+// assembly is a node as it is put together: what several parts need, and the parts.
+type assembly struct {
+	c       *Config
+	log     *slog.Logger
+	sockets *sockets
+	room    int // descriptors for connections
+	clients int // of them, for clients
+
+	figures   *stats.Figures
+	transport *upstream.Transport
+	gate      *gate // nil: nothing crosses
+	loop      *core.Loop
+	handler   *front.Handler
+	front     *http1.Front
+	takeover  *takeover
+	peers     *peer.Peers
+	second    *net.TCPListener // the second address; nil: there is none
+	parts     parts
+}
+
+// serve puts a node together and has it run until ctx ends and what has been taken by then is answered.
 func serve(ctx context.Context, c *Config, s *sockets, reload <-chan os.Signal, log *slog.Logger) error {
-	tcp := s.clients
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	a := &assembly{c: c, log: log, sockets: s}
+	served := make(chan error, 1)
+	defer func() { a.parts.after() }()
+	if err := a.assemble(inner, reload, served); err != nil {
+		s.clients.Close()
+		return err
+	}
+	var running sync.WaitGroup
+	if err := a.parts.start(inner, stop, &running); err != nil {
+		s.clients.Close()
+		return err
+	}
+	about := []any{"name", c.Name, "listen", s.clients.Addr(), "sockets", c.Limits.Sockets}
+	if a.second != nil {
+		about = append(about, "ops", a.second.Addr())
+	}
+	log.Info("serving", about...)
+
+	var err error
+	select {
+	case err = <-served:
+		err = fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+		log.Info("draining")
+		a.parts.drain(time.Now().Add(c.drainTime()), &running) // a node without clients may still serve another site's
+		log.Info("drained")
+	}
+	a.parts.last()
+	stop()
+	a.parts.close()
+	running.Wait()
+	return err
+}
+
+// assemble makes the parts, in the order in which they start. What they own when it fails is let go of by their after.
+func (a *assembly) assemble(ctx context.Context, reload <-chan os.Signal, served chan<- error) error {
+	c, s, log := a.c, a.sockets, a.log
 	var learned *decide.Snapshot
 	if s.from != nil {
-		defer s.from.Close()
+		a.add(part{after: func() { s.from.Close() }})
 		if k, err := takeState(s.from.State); err != nil {
 			log.Warn("what the predecessor knew is not taken", "err", err)
 		} else {
 			c.Known, learned = k.List, k.Learned
 		}
 	}
-	var second *net.TCPListener
+	a.room = c.Limits.Sockets - ownSockets
 	if c.Ops.IsValid() {
 		var err error
-		if second, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Ops)); err != nil {
-			tcp.Close()
+		if a.second, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Ops)); err != nil {
 			return fmt.Errorf("ops: %w", err)
 		}
-		defer second.Close()
+		a.add(part{after: func() { a.second.Close() }})
+		a.room -= ops.Connections + 1
 	}
-	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	room := c.Limits.Sockets - ownSockets
-	if second != nil {
-		room -= ops.Connections + 1
-	}
-	clients := int(float64(room) * clientPart)
-	var p *peer.Peers
-	var messenger core.Messenger
+	a.clients = int(float64(a.room) * clientPart)
 	if s.peers != nil {
-		p = peer.New(s.peers, c.Peers, c.PeersAll, c.Settings.Self, log)
-		messenger = p
+		a.peers = peer.New(s.peers, c.Peers, c.PeersAll, c.Settings.Self, log)
 	}
-	transport := upstream.New(c.Settings, c.Limits.MemoryMB, room-clients, log)
-	var g *gate
+	a.transport = upstream.New(c.Settings, c.Limits.MemoryMB, a.room-a.clients, log)
 	if c.Gateway != nil {
 		var err error
-		if g, err = openGate(c, log); err != nil {
-			tcp.Close()
+		if a.gate, err = openGate(c, log); err != nil {
 			return err
 		}
-		defer g.close()
+		a.add(part{after: a.gate.close})
 	}
-	settings := c.Settings
-	settings.TellShort = g != nil
-	figures := stats.New(classNames(settings))
-	loop, err := core.New(inner, core.Options{Remote: g.remote(), Settings: settings, Seed: c.Seed, Transport: transport, Members: registry.New(c.Discovery, settings.Nodes, log),
-		Messenger: messenger, Figures: figures, Learned: learned, Log: log})
-	if err != nil {
-		tcp.Close()
+	if err := a.decisions(ctx, learned); err != nil {
 		return err
 	}
-	handler := front.NewHandler(loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
-	handler.Figures = figures
-	if c.Record != nil {
-		keeper := recorder.New(c.Record, log)
-		handler.Seen = func(s *front.Seen) { keeper.Take(tryOf(s)) }
-		recording, stopRecording := context.WithCancel(context.Background())
-		var writing sync.WaitGroup
-		writing.Go(func() { keeper.Run(recording) })
-		defer writing.Wait() // once all that was taken has been answered, and seen
-		defer stopRecording()
-	}
-	clientFront := http1.New(tcp, clients, handler, log)
-	t := &takeover{front: clientFront, handler: handler, transport: transport, peers: p, loop: loop, clients: clients, servers: room - clients,
+	a.takeover = &takeover{front: a.front, handler: a.handler, transport: a.transport, peers: a.peers, loop: a.loop, clients: a.clients, servers: a.room - a.clients,
 		memoryMB: c.Limits.MemoryMB, setMemory: c.setMemory, log: log, before: s.from != nil, serves: s.from == nil}
-	var agreement *control.Control
+
+	a.add(part{run: func(context.Context) { a.loop.Run(c.Known) }}, part{run: a.transport.Run})
 	if c.Fleet != nil {
-		if agreement, err = control.Open(c.Fleet, loop, t.drained, log); err != nil {
-			tcp.Close()
+		if err := a.agreement(); err != nil {
 			return err
 		}
-		t.agreement = agreement
 	}
-	t.set(func() {})
-
-	var running sync.WaitGroup
-	running.Go(func() { loop.Run(c.Known) })
-	running.Go(func() { transport.Run(inner) })
-	if agreement != nil {
-		agreement.Begin()
-		running.Go(agreement.Run)
+	a.takeover.set(func() {})
+	if a.peers != nil {
+		a.add(part{run: a.peers.Write}, part{run: func(context.Context) { a.peers.Read(a.loop.Heard) }})
 	}
-	if p != nil {
-		running.Go(func() { p.Write(inner) })
-		running.Go(func() { p.Read(loop.Heard) })
+	if a.second != nil {
+		a.operations()
 	}
-	var watched *ops.Server
-	if second != nil {
-		watched = ops.New(second, handler.Ready, figures, log)
-		running.Go(func() {
-			if err := watched.Serve(); err != nil {
-				log.Error("second address", "err", err)
-			}
-		})
+	a.add(part{run: func(context.Context) { served <- a.front.Serve() }, drain: a.front.Drain, close: a.front.Close})
+	if a.gate != nil {
+		a.add(part{start: func() error { return a.gate.take(c, a.loop) }, run: func(context.Context) { a.gate.server.Serve() }, drain: a.gate.drain,
+			close: func() { a.gate.server.Close() }})
 	}
-	served := make(chan error, 1)
-	running.Go(func() { served <- clientFront.Serve() })
-	if g != nil {
-		if err := g.take(c, loop); err != nil {
-			stop()
-			tcp.Close()
-			if agreement != nil {
-				agreement.Close()
-			}
-			if watched != nil {
-				watched.Close()
-			}
-			running.Wait()
-			return err
-		}
-		running.Go(func() { g.server.Serve() })
-	}
-	running.Go(func() { follow(inner, c, loop, g, reload, log) })
+	a.add(part{run: func(ctx context.Context) { follow(ctx, c, a.loop, a.gate, reload, log) }})
 	if s.from != nil {
-		running.Go(func() { t.follow(inner, s.from) })
+		a.add(part{run: func(ctx context.Context) { a.takeover.follow(ctx, s.from) }})
 	}
 	if c.Handover != "" {
-		keeper, err := handover.Keep(c.Handover, handover.Offer{Name: c.Name, Listener: tcp, Peers: s.peers, State: t.state,
-			Held: clientFront.Held, Changed: t.changed}, log)
-		if err != nil {
-			log.Warn("no successor can take over from this process; it may still listen beside it", "err", err)
-		} else {
-			running.Go(func() { keeper.Run(inner) })
-		}
-	}
-	about := []any{"name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets}
-	if second != nil {
-		about = append(about, "ops", second.Addr())
+		a.successor()
 	}
-	log.Info("serving", about...)
+	return nil
+}
 
-	select {
-	case err = <-served:
-		err = fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
-		log.Info("draining")
-		if agreement != nil {
-			running.Go(agreement.Leaving)
-		}
-		end := time.Now().Add(c.drainTime())
-		var draining sync.WaitGroup
-		if g != nil {
-			draining.Go(func() { g.drain(end) })
-		}
-		clientFront.Drain(end)
-		draining.Wait() // a node without clients may still serve another site's
-		log.Info("drained")
+func (a *assembly) add(p ...part) { a.parts = append(a.parts, p...) }
+
+// decisions makes the loop and the front that hands it requests.
+func (a *assembly) decisions(ctx context.Context, learned *decide.Snapshot) error {
+	c, log := a.c, a.log
+	var messenger core.Messenger
+	if a.peers != nil {
+		messenger = a.peers
 	}
-	if agreement != nil {
-		agreement.Close()
+	settings := c.Settings
+	settings.TellShort = a.gate != nil
+	a.figures = stats.New(classNames(settings))
+	var err error
+	a.loop, err = core.New(ctx, core.Options{Remote: a.gate.remote(), Settings: settings, Seed: c.Seed, Transport: a.transport, Members: registry.New(c.Discovery, settings.Nodes, log),
+		Messenger: messenger, Figures: a.figures, Learned: learned, Log: log})
+	if err != nil {
+		return err
 	}
-	stop()
-	clientFront.Close()
-	if watched != nil {
-		watched.Close()
+	a.handler = front.NewHandler(a.loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
+	a.handler.Figures = a.figures
+	if c.Record != nil {
+		a.record()
 	}
-	if g != nil {
-		g.server.Close()
+	a.front = http1.New(a.sockets.clients, a.clients, a.handler, log)
+	return nil
+}
+
+// record has the recorder see what is over. It ends once all that was taken has been answered, and seen.
+func (a *assembly) record() {
+	keeper := recorder.New(a.c.Record, a.log)
+	a.handler.Seen = func(s *front.Seen) { keeper.Take(tryOf(s)) }
+	recording, stop := context.WithCancel(context.Background())
+	var writing sync.WaitGroup
+	a.add(part{start: func() error {
+		writing.Go(func() { keeper.Run(recording) })
+		return nil
+	}, after: func() {
+		stop()
+		writing.Wait()
+	}})
+}
+
+// agreement is this node's part in what its fleet agrees on. What it followed at its last end holds before anything is served.
+func (a *assembly) agreement() error {
+	n, err := control.Open(a.c.Fleet, a.loop, a.takeover.drained, a.log)
+	if err != nil {
+		return err
 	}
-	running.Wait()
-	return err
+	a.takeover.agreement = n
+	a.add(part{start: func() error { n.Begin(); return nil }, run: func(context.Context) { n.Run() }, leave: n.Leaving, last: n.Close, close: n.Stop})
+	return nil
+}
+
+// operations is the second address.
+func (a *assembly) operations() {
+	watched := ops.New(a.second, a.handler.Ready, a.figures, a.log)
+	a.add(part{run: func(context.Context) {
+		if err := watched.Serve(); err != nil {
+			a.log.Error("second address", "err", err)
+		}
+	}, close: watched.Close})
+}
+
+// successor lets another process take over from this one.
+func (a *assembly) successor() {
+	var keeper *handover.Keeper
+	a.add(part{start: func() error {
+		var err error
+		keeper, err = handover.Keep(a.c.Handover, handover.Offer{Name: a.c.Name, Listener: a.sockets.clients, Peers: a.sockets.peers, State: a.takeover.state,
+			Held: a.front.Held, Changed: a.takeover.changed}, a.log)
+		if err != nil {
+			a.log.Warn("no successor can take over from this process; it may still listen beside it", "err", err)
+		}
+		return nil
+	}, run: func(ctx context.Context) {
+		if keeper != nil {
+			keeper.Run(ctx)
+		}
+	}})
 }
 
 func classNames(s decide.Settings) (names []string) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -219,6 +219,9 @@
 	n.stop()
 }
 
+// Stop ends all that Run has begun, without a word.
+func (n *Control) Stop() { n.stop() }
+
 // last says one of the last words of a session, if there is one.
 func (n *Control) last(word func(epoch uint64) *fleetpb.Entry) {
 	n.mu.Lock()
