A voter whose disk was lost is taken in with its new one, by joint consensus; fenced returns

Need: a fleet of three bore one lost disk for good. Ruled out: the nodes (each kept to 500 ms after hearing) and the log (linearizable). A node whose disk knows nothing says for 3 s at most that it is not ready. Nodes' words of what has stopped share an entry.

--- a/cmd/rig/drains.go
+++ b/cmd/rig/drains.go
@@ -24,6 +24,8 @@
 	off      []offTime
 	gone     []span // servers that went by themselves
 	unproven int
+	number   int           // of asks so far
+	again    int           // asks whose answer was lost
 	grants   standin.Times // of the program's whole command
 }
 
@@ -73,30 +75,44 @@
 	return askOdd, fmt.Sprintf("exit code %d: %s", code, strings.TrimSpace(text))
 }
 
-// say is one ask, through some member that runs.
-func (d *drainsPlay) say(ctx context.Context, r *rand.Rand, operator int, s *standin.Server, giveBack bool) askCode {
-	m := d.member(r)
-	verb := "drain"
+// say is one ask, through some member that runs. Where its answer is lost it is asked again under its number, until the operator knows: so it
+// is one ask, from its first word to its last. epoch is of the drain.
+func (d *drainsPlay) say(ctx context.Context, r *rand.Rand, operator int, s *standin.Server, giveBack bool, epoch uint64) (askCode, uint64) {
+	verb, fence := "drain", []string{}
 	if giveBack {
-		verb = "return"
-	}
-	if r.IntN(12) == 0 { // this operator loses patience, or power
-		hasty, cancel := context.WithTimeout(ctx, time.Duration(r.IntN(40))*time.Millisecond)
-		defer cancel()
-		ctx = hasty
+		verb, fence = "return", []string{"--epoch", fmt.Sprint(epoch)}
 	}
+	d.mu.Lock()
+	d.number++
+	number := fmt.Sprintf("ask-%d", d.number)
+	d.mu.Unlock()
 	a := drainAsk{operator: operator, server: s.Name, zone: s.Zone, giveBack: giveBack, from: time.Now()}
-	text, code := d.p.ask(ctx, m, verb, s.Name, "-o", "json", "--by", fmt.Sprintf("op%d", operator))
-	a.to = time.Now()
-	a.code, a.reason = told(text, code, giveBack)
-	d.p.history.note(fmt.Sprintf("op%d", operator), "%s %s through %s: %v %s", verb, s.Name, m.name, a.code, a.reason)
+	for end := a.from.Add(2 * settleWait); time.Now().Before(end); {
+		m, patience := d.member(r), askLimit
+		if r.IntN(10) == 0 { // this one loses patience, or power
+			patience = time.Duration(r.IntN(40)) * time.Millisecond
+		}
+		once, cancel := context.WithTimeout(ctx, patience)
+		text, code := d.p.ask(once, m, append([]string{verb, s.Name, "-o", "json", "--ask", number, "--by", fmt.Sprintf("op%d", operator)}, fence...)...)
+		cancel()
+		a.to = time.Now()
+		a.code, a.reason = told(text, code, giveBack)
+		epoch = result(text).Epoch
+		d.p.history.note(fmt.Sprintf("op%d", operator), "%s %s through %s: %v %s, epoch %d", verb, s.Name, m.name, a.code, a.reason, epoch)
+		if a.code != askUnknown {
+			break
+		}
+		d.mu.Lock()
+		d.again++
+		d.mu.Unlock()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.asks = append(d.asks, a)
 	if a.code == askDone && !giveBack {
 		d.grants.Add(a.to.Sub(a.from))
 	}
-	return a.code
+	return a.code, epoch
 }
 
 func (c askCode) String() string {
@@ -117,16 +133,13 @@
 	r := rand.New(rand.NewPCG(seed, uint64(operator)))
 	for ctx.Err() == nil {
 		s := d.servers[r.IntN(len(d.servers))]
-		code := d.say(context.WithoutCancel(ctx), r, operator, s, false)
-		switch code {
-		case askDone:
-			d.switchOff(ctx, r, operator, s)
-		case askUnknown:
-		default:
+		code, epoch := d.say(context.WithoutCancel(ctx), r, operator, s, false, 0)
+		if code != askDone {
 			sleepFor(ctx, time.Duration(50+r.IntN(200))*time.Millisecond)
 			continue
 		}
-		d.bringBack(ctx, r, operator, s)
+		d.switchOff(ctx, r, operator, s)
+		d.say(context.WithoutCancel(ctx), r, operator, s, true, epoch)
 		sleepFor(ctx, time.Duration(r.IntN(150))*time.Millisecond)
 	}
 }
@@ -148,15 +161,6 @@
 	d.mu.Unlock()
 }
 
-// bringBack asks until it is known that the server is not drained any more.
-func (d *drainsPlay) bringBack(ctx context.Context, r *rand.Rand, operator int, s *standin.Server) {
-	for end := time.Now().Add(2 * settleWait); time.Now().Before(end); sleepFor(ctx, 200*time.Millisecond) {
-		if c := d.say(context.WithoutCancel(ctx), r, operator, s, true); c == askDone || c == askNotOut {
-			return
-		}
-	}
-}
-
 const drainsOperators = 6
 
 const drainsBudget = `
@@ -292,6 +296,7 @@
 	for c := askDone; c <= askOdd; c++ {
 		o.out.figure("drains.asks."+strings.ReplaceAll(c.String(), " ", "-"), count[c], "asks")
 	}
+	o.out.figure("drains.asks.again", d.again, "times that an ask was put again, as its answer was lost")
 	o.out.figure("drains.proven", len(d.off), "drains")
 	o.out.figure("drains.unproven", d.unproven, "drains, not proven within 6 s")
 	o.out.figure("drains.grant.p50", d.grants.Quantile(0.5).Seconds()*1e3, "ms, the whole command")
--- a/cmd/rig/drains_test.go
+++ b/cmd/rig/drains_test.go
@@ -114,12 +114,13 @@
 schedule {"at":9.5,"length":1,"kind":"cut-zone","node":1}
 schedule {"at":11.5,"length":1,"kind":"all-voters","node":0}
 schedule {"at":14,"length":1,"kind":"server","node":2}
+schedule {"at":16,"length":0.5,"kind":"disk","node":2}
 `), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	var rigErr error
 	text, broken := capture(t, func(r *report) {
-		rigErr = drainsRig(t.Context(), &options{seed: 5, quick: true, out: r, schedule: schedule, length: 16 * time.Second})
+		rigErr = drainsRig(t.Context(), &options{seed: 5, quick: true, out: r, schedule: schedule, length: 19 * time.Second})
 	})
 	if rigErr != nil || broken > 0 {
 		t.Errorf("%v\n%s", rigErr, text)
@@ -179,6 +180,9 @@
 	if text, code := p.ask(ctx, p.members[0], "return", drained); code == 0 {
 		t.Errorf("a fleet without a majority has agreed: %s", text)
 	}
+	if text, code := p.ask(ctx, p.members[0], "renew", "n2"); code == 0 {
+		t.Errorf("a voter without a majority takes another one in: %s", text)
+	}
 	f.setLog(true)
 	for i, m := range p.members {
 		l := &standin.Load{Addr: m.listen, Classes: kampklip, Retries: 2, Prefix: m.name + "-", KeepLog: true, Seed: uint64(i)}
@@ -197,6 +201,46 @@
 	}
 }
 
+// A voter's disk is lost: the voter does not vote until it is taken in with the new one; then it counts for the majority, and one that
+// has lost nothing is not taken in anew.
+func TestVoterRenewed(t *testing.T) {
+	w, err := newWorkshop(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	f, err := openZones(4, []string{"a"}, 4, kampklipWork(0.2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	p, err := openPack(t.Context(), w, f.registry.Addr, 3, 3, []string{"a"}, drainsBudget, &history{out: os.Stderr, began: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	say := func(want int, part string, at int, args ...string) {
+		t.Helper()
+		if text, code := p.ask(t.Context(), p.members[at], args...); code != want || !strings.Contains(text, part) {
+			t.Fatalf("%v: exit code %d, %s; want %d with %q", args, code, text, want, part)
+		}
+	}
+	say(0, "done", 0, "drain", f.servers[0].Name)
+	say(3, "nothing is lost", 0, "renew", "n3")
+	if err := p.fault(t.Context(), fault{Kind: loseDisk, Length: 0.1, Node: 2}, f.registry, f.servers); err != nil {
+		t.Fatal(err)
+	}
+	p.members[1].kill() // the new disk makes the majority
+	say(0, "done", 0, "return", f.servers[0].Name)
+	if err := p.start(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.settled(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	say(0, "voter n3 taken in with a new disk", 1, "history")
+}
+
 // The fleet's other words, on real processes: a zone goes out and comes back, a held one stays, a node sends its clients away, and a
 // server that takes requests and answers none is out by the nodes' own findings.
 func TestFleetWords(t *testing.T) {
--- a/cmd/rig/faults.go
+++ b/cmd/rig/faults.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"starlingvalve/internal/control"
 	"starlingvalve/internal/standin"
 )
 
@@ -39,7 +40,7 @@
 	loseDisk   = "disk"       // the last voter's folder is lost with its process
 )
 
-var faultKinds = []string{killMember, stopMember, cutMember, muteMember, deafMember, cutZone, cutHalves, slowPaths, killVoters, serverGone}
+var faultKinds = []string{killMember, stopMember, cutMember, muteMember, deafMember, cutZone, cutHalves, slowPaths, killVoters, serverGone, loseDisk}
 
 // drawFaults draws a schedule: each kind in turn before any comes again, one after another, with pauses.
 func drawFaults(seed uint64, length time.Duration, members int) (list []fault) {
@@ -87,7 +88,7 @@
 		if err := json.Unmarshal([]byte(text), &f); err != nil {
 			return nil, fmt.Errorf("%s:%d: %w", path, n, err)
 		}
-		if f.Node >= members || f.Length <= 0 || f.Length > 600 || !slices.Contains(append(slices.Clone(faultKinds), loseDisk), f.Kind) {
+		if f.Node >= members || f.Length <= 0 || f.Length > 600 || !slices.Contains(faultKinds, f.Kind) {
 			return nil, fmt.Errorf("%s:%d: no fault of %d members: %s", path, n, members, text)
 		}
 		list = append(list, f)
@@ -197,15 +198,35 @@
 	case loseDisk:
 		last := p.voters - 1
 		p.members[last].kill()
-		if err := os.RemoveAll(p.members[last].folder); err != nil {
+		if err := os.Remove(filepath.Join(p.members[last].folder, "log.db")); err != nil {
 			return err
 		}
 		sleepFor(ctx, length)
-		return p.start(ctx, last)
+		if err := p.start(ctx, last); err != nil {
+			return err
+		}
+		return p.renew(ctx, last)
 	}
 	return nil
 }
 
+// renew has the others take a voter in with its new disk, and waits until it has the log.
+func (p *pack) renew(ctx context.Context, at int) error {
+	m, last := p.members[at], ""
+	for end := time.Now().Add(settleWait); time.Now().Before(end) && ctx.Err() == nil; sleepFor(ctx, 100*time.Millisecond) {
+		var code int
+		if last, code = p.ask(ctx, p.members[(at+1)%p.voters], "renew", m.name, "--why", "its disk was lost"); code != 0 {
+			continue
+		}
+		for ; time.Now().Before(end) && ctx.Err() == nil; sleepFor(ctx, 50*time.Millisecond) {
+			if h, err := control.Knock(m.socket).Here(ctx); err == nil && h.Leader != "" {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("%s is not taken in: %s", m.name, last)
+}
+
 // historyFile begins the file of a run's history.
 func (w *workshop) historyFile(keep string) (*history, func(), error) {
 	path := keep
--- a/cmd/starlingvalve/fleet.go
+++ b/cmd/starlingvalve/fleet.go
@@ -38,6 +38,7 @@
 // asking is what the fleet commands share.
 type asking struct {
 	socket, by, why, output string
+	number                  string // of the ask; empty: a new one
 	queue, timeout          time.Duration
 }
 
@@ -65,6 +66,7 @@
 	root.PersistentFlags().StringVar(&a.socket, "socket", os.Getenv("GW_FLEET_SOCKET"), "the `PATH` of a node's socket")
 	root.PersistentFlags().StringVar(&a.by, "by", me, "who asks, for the history")
 	root.PersistentFlags().StringVar(&a.why, "why", "", "the reason, for the history")
+	root.PersistentFlags().StringVar(&a.number, "ask", "", "a `number` of your own for this ask: asked again with the same one, it has no second effect and the first answer")
 	root.PersistentFlags().StringVarP(&a.output, "output", "o", "text", "text or json")
 	add := func(use, short string, args cobra.PositionalArgs, run func(c *cobra.Command, d *control.Door, args []string) error) *cobra.Command {
 		c := &cobra.Command{Use: use, Short: short, Args: args, RunE: func(c *cobra.Command, args []string) error {
@@ -96,12 +98,17 @@
 	drain.Flags().DurationVar(&a.queue, "queue", 0, "wait in the queue for so long, if the budgets are spent")
 	drain.Flags().BoolVar(&dry, "dry-run", false, "only tell what would become of it")
 	drain.Flags().BoolVar(&force, "force", false, "past the budgets; the history names who did it")
-	add("return TARGET", "Take back what is drained", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
-		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Return{Return: &fleetpb.Return{Target: target(args[0]), By: a.by, Why: a.why}}})
+	var epoch uint64
+	back := add("return TARGET", "Take back what is drained", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Return{Return: &fleetpb.Return{Target: target(args[0]), By: a.by, Why: a.why, Epoch: epoch}}})
 	})
+	back.Flags().Uint64Var(&epoch, "epoch", 0, "only the drain that was granted at this epoch; 0: whichever it is")
 	add("withdraw TARGET", "Take a drain that waits out of the queue", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
 		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Withdraw{Withdraw: &fleetpb.Withdraw{Target: target(args[0]), By: a.by}}})
 	})
+	add("renew VOTER", "Take a voter in whose disk was lost, with its new one; start it first", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Renew{Renew: &fleetpb.RenewVoter{Node: args[0], By: a.by, Why: a.why}}})
+	})
 	var lift bool
 	hold := add("hold TARGET", "Keep a server, a node, a zone or, with fleet, everything from being taken out", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
 		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Hold{Hold: &fleetpb.Hold{Target: target(args[0]), By: a.by, Why: a.why, Lift: lift}}})
@@ -125,7 +132,9 @@
 
 // ask hands in an entry under a number of its own, so that it may be asked again without harm.
 func (a *asking) ask(c *cobra.Command, d *control.Door, e *fleetpb.Entry) error {
-	e.Ask = rand.Text()
+	if e.Ask = a.number; e.Ask == "" {
+		e.Ask = rand.Text()
+	}
 	ctx, cancel := context.WithTimeout(c.Context(), 30*time.Second)
 	defer cancel()
 	r, err := d.Ask(ctx, e)
--- a/internal/agree/bolt.go
+++ b/internal/agree/bolt.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -57,19 +58,40 @@
 // Close lets go of the file.
 func (b *Bolt) Close() error { return b.db.Close() }
 
-// Birth is drawn when the file is made; founding names the log that this voter is part of, and is empty until Found.
-func (b *Bolt) Birth() (birth, founding string) {
+// Birth is drawn when the file is made.
+func (b *Bolt) Birth() (birth string) {
 	b.db.View(func(tx *bbolt.Tx) error {
-		meta := tx.Bucket(bucketMeta)
-		birth, founding = string(meta.Get(keyBirth)), string(meta.Get(keyFounding))
+		birth = string(tx.Bucket(bucketMeta).Get(keyBirth))
 		return nil
 	})
-	return birth, founding
+	return birth
+}
+
+// Founding is which log a voter is part of.
+type Founding struct {
+	Log    string            // its name; empty: none yet
+	Voters map[string]string // by name, the births of their disks, as this one took part
+	Joined bool              // the log had begun without this disk
 }
 
-// Found notes for good which log this voter is part of.
-func (b *Bolt) Found(founding string) error {
-	return b.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyFounding, []byte(founding)) })
+// Founding tells it.
+func (b *Bolt) Founding() (f Founding, err error) {
+	err = b.db.View(func(tx *bbolt.Tx) error {
+		if raw := tx.Bucket(bucketMeta).Get(keyFounding); raw != nil {
+			return json.Unmarshal(raw, &f)
+		}
+		return nil
+	})
+	return f, err
+}
+
+// Found notes it for good.
+func (b *Bolt) Found(f Founding) error {
+	raw, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	return b.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyFounding, raw) })
 }
 
 // Load is Disk's.
--- a/internal/agree/core.go
+++ b/internal/agree/core.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
@@ -48,6 +49,7 @@
 type Options struct {
 	ID      uint64   // of this voter; not 0
 	Voters  []uint64 // as the log begins; a disk that holds a log goes before it
+	Join    bool     // the log has begun without this voter, which has it from the others
 	Disk    Disk
 	Machine Machine
 	// A leader is given up after so many ticks of silence, drawn from one to two times; it is heard so often. Default 10 and 1.
@@ -77,6 +79,7 @@
 	waiting map[uint64]func(any, error)
 	reads   []read        // in flight, by their number
 	asked   []func(error) // for the next one
+	renewed bool          // the voters have changed since the last snapshot: one that is new takes only a snapshot in which it is
 	lead    bool
 	led     uint64 // leader, 0: not known
 }
@@ -100,7 +103,7 @@
 		return nil, err
 	}
 	c := &Core{o: o, storage: raft.NewMemoryStorage(), origin: rand.Uint64(), waiting: map[uint64]func(any, error){}}
-	if kept.Snapshot == nil {
+	if kept.Snapshot == nil && !o.Join {
 		if len(kept.Entries) > 0 || kept.Hard != nil {
 			return nil, errors.New("the disk has a log without the snapshot that it begins with: it is damaged")
 		}
@@ -115,11 +118,13 @@
 			return nil, err
 		}
 	}
-	if err := c.storage.ApplySnapshot(kept.Snapshot); err != nil {
-		return nil, err
-	}
-	if err := o.Machine.Restore(kept.Snapshot.Data); err != nil {
-		return nil, err
+	if kept.Snapshot != nil {
+		if err := c.storage.ApplySnapshot(kept.Snapshot); err != nil {
+			return nil, err
+		}
+		if err := o.Machine.Restore(kept.Snapshot.Data); err != nil {
+			return nil, err
+		}
 	}
 	c.conf = kept.Snapshot.GetMetadata().GetConfState()
 	c.applied = kept.Snapshot.GetMetadata().GetIndex()
@@ -177,6 +182,31 @@
 // Transfer hands the leadership to another voter, if this one leads.
 func (c *Core) Transfer(to uint64) { c.node.TransferLeader(to) }
 
+// Reconfigure has the log held by these voters, if this one leads and no other change is under way: by joint consensus, so that at no moment
+// a majority of the old ones or of the new ones alone decides. It tells nothing: the status has the voters once they are agreed.
+func (c *Core) Reconfigure(voters []uint64) {
+	if !c.lead || len(c.conf.GetVotersOutgoing()) > 0 {
+		return
+	}
+	cc := &raftpb.ConfChangeV2{Transition: raftpb.ConfChangeTransitionJointImplicit.Enum()}
+	change := func(kind raftpb.ConfChangeType, id uint64) {
+		cc.Changes = append(cc.Changes, &raftpb.ConfChangeSingle{Type: kind.Enum(), NodeId: &id})
+	}
+	for _, id := range voters {
+		if !slices.Contains(c.conf.GetVoters(), id) {
+			change(raftpb.ConfChangeAddNode, id)
+		}
+	}
+	for _, id := range c.conf.GetVoters() {
+		if !slices.Contains(voters, id) {
+			change(raftpb.ConfChangeRemoveNode, id)
+		}
+	}
+	if len(cc.Changes) > 0 {
+		c.node.ProposeConfChange(cc)
+	}
+}
+
 // Unreachable tells that messages to a voter do not get through.
 func (c *Core) Unreachable(id uint64) { c.node.ReportUnreachable(id) }
 
@@ -303,13 +333,13 @@
 		if err := proto.Unmarshal(e.Data, cc); err != nil {
 			return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
 		}
-		c.conf = c.node.ApplyConfChange(cc)
+		c.conf, c.renewed = c.node.ApplyConfChange(cc), true
 	case raftpb.EntryConfChangeV2:
 		cc := &raftpb.ConfChangeV2{}
 		if err := proto.Unmarshal(e.Data, cc); err != nil {
 			return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
 		}
-		c.conf = c.node.ApplyConfChange(cc)
+		c.conf, c.renewed = c.node.ApplyConfChange(cc), true
 	default:
 		if len(e.Data) < envelope { // the leader's own, at the start of its term
 			return nil
@@ -328,9 +358,10 @@
 
 // compact takes a snapshot once enough has been applied since the last one, and lets go of the log before it.
 func (c *Core) compact() error {
-	if c.applied-c.snapped < c.o.CompactEvery {
+	if c.applied-c.snapped < c.o.CompactEvery && !c.renewed {
 		return nil
 	}
+	c.renewed = false
 	state, err := c.o.Machine.Snapshot()
 	if err != nil {
 		return err
--- a/internal/agree/core_test.go
+++ b/internal/agree/core_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -318,6 +319,51 @@
 	}
 }
 
+// A voter whose disk was lost is taken in with a new one, under another number: the log is held by the others and it, and has all.
+func TestReconfigure(t *testing.T) {
+	s := newTier(t, 3, 4)
+	s.until("a leader", func() bool { return s.leader() >= 0 })
+	for i := range 50 {
+		s.propose(s.leader(), fmt.Sprintf("w%d", i))
+		s.step(0)
+	}
+	lost := (s.leader() + 1) % 3
+	s.kill(lost)
+	s.disks = append(s.disks, &memory{})
+	s.states = append(s.states, &words{})
+	c, err := NewCore(Options{ID: 4, Join: true, Disk: s.disks[3], Machine: s.states[3], CompactEvery: s.compact, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.cores = append(s.cores, c)
+	want := []uint64{4}
+	for i := range 3 {
+		if i != lost {
+			want = append(want, uint64(i+1))
+		}
+	}
+	slices.Sort(want)
+	s.until("the voters are agreed", func() bool {
+		if x := s.leader(); x >= 0 {
+			s.cores[x].Reconfigure(want)
+			s.work(x)
+		}
+		got := slices.Clone(s.cores[3].Status().Voters)
+		slices.Sort(got)
+		return slices.Equal(got, want)
+	})
+	s.propose(s.leader(), "after")
+	s.until("the new one has all", func() bool { return len(s.states[3].list) == 51 })
+	second := s.leader()
+	s.kill(second) // the new one counts for the majority now
+	s.until("it decides with the one that is left", func() bool {
+		if x := s.leader(); x >= 0 {
+			s.propose(x, "last")
+		}
+		return s.said["last"]
+	})
+}
+
 // The file keeps what a core needs, and only one process has it.
 func TestBolt(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "log.db")
@@ -336,13 +382,13 @@
 		b.Save(&raftpb.HardState{Term: new(uint64(3)), Vote: new(uint64(0)), Commit: new(uint64(1))}, nil, snap),
 		b.Save(nil, []*raftpb.Entry{entry(2, "a"), entry(3, "b"), entry(4, "c")}, nil),
 		b.Save(nil, []*raftpb.Entry{entry(3, "d")}, nil),
-		b.Found("f"),
+		b.Found(Founding{Log: "f", Voters: map[string]string{"n1": "b"}}),
 	} {
 		if save != nil {
 			t.Fatal(save)
 		}
 	}
-	birth, _ := b.Birth()
+	birth := b.Birth()
 	b.Close()
 	if b, err = OpenBolt(path); err != nil {
 		t.Fatal(err)
@@ -352,7 +398,7 @@
 	if err != nil || len(k.Entries) != 2 || string(k.Entries[1].Data) != "d" || k.Hard.GetTerm() != 3 || !bytes.Equal(k.Snapshot.Data, snap.Data) {
 		t.Errorf("%v, %v", k, err)
 	}
-	if again, founding := b.Birth(); again != birth || founding != "f" || len(birth) != 16 {
-		t.Errorf("birth %q, then %q; founding %q", birth, again, founding)
+	if f, err := b.Founding(); err != nil || b.Birth() != birth || f.Log != "f" || f.Voters["n1"] != "b" || len(birth) != 16 {
+		t.Errorf("birth %q, then %q; founding %+v, %v", birth, b.Birth(), f, err)
 	}
 }
--- a/internal/agree/member.go
+++ b/internal/agree/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +66,7 @@
 		if err != nil {
 			return end(err)
 		}
-		if s := m.core.Status(); s.Applied != was.Applied || s.Leader != was.Leader || s.Term != was.Term || s.Leads != was.Leads {
+		if s := m.core.Status(); s.Applied != was.Applied || s.Leader != was.Leader || s.Term != was.Term || s.Leads != was.Leads || !slices.Equal(s.Voters, was.Voters) {
 			was = s
 			m.mu.Lock()
 			m.status = s
@@ -102,6 +103,9 @@
 // Transfer hands the leadership to another voter.
 func (m *Member) Transfer(to uint64) { m.do(func() { m.core.Transfer(to) }) }
 
+// Reconfigure has the log held by these voters.
+func (m *Member) Reconfigure(voters []uint64) { m.do(func() { m.core.Reconfigure(voters) }) }
+
 // Status tells where the voter stands; Err why it has ended, or nil.
 func (m *Member) Status() Status {
 	m.mu.Lock()
--- a/internal/control/door.go
+++ b/internal/control/door.go
@@ -130,11 +130,7 @@
 	if s.Leads {
 		h.Voter = "leads"
 	}
-	for _, o := range n.c.Voters {
-		if voterID(o.Name) == s.Leader {
-			h.Leader = o.Name
-		}
-	}
+	h.Leader = n.voter.name(s.Leader)
 	return h
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -42,6 +42,7 @@
 	againAfter  = 100 * time.Millisecond
 	leftEvery   = 20 * time.Millisecond
 	takeOver    = 100 * time.Millisecond // between two looks at the process before this one
+	firstWord   = 3 * time.Second
 	farewell    = 200 * time.Millisecond // for each of the last words of a node that ends
 	heldFile    = "held.json"
 	lockFile    = "lock"
@@ -108,8 +109,29 @@
 	return h, nil
 }
 
-// Begin has the loop follow what was on the disk, before anything is served.
-func (n *Control) Begin() { n.hold(n.held) }
+// Begin has the loop follow what was on the disk, before anything is served. A node whose disk knows nothing, as at its first start, says that
+// it is not ready until it has heard, for firstWord at most: out of reach of the others it serves by its own decisions.
+func (n *Control) Begin() {
+	n.hold(n.followed())
+	if n.followed().Log != "" {
+		return
+	}
+	n.away(true)
+	n.work.Go(func() {
+		n.mu.Lock()
+		news := n.follows
+		n.mu.Unlock()
+		select {
+		case <-n.ctx.Done():
+		case <-news: // the node is away or not, as they say
+		case <-time.After(firstWord):
+			if n.followed().Log == "" {
+				n.log.Warn("fleet: the others are not heard; this node serves by its own decisions")
+				n.away(false)
+			}
+		}
+	})
+}
 
 // Run takes part until Close. It waits for the process that this one replaces: one of them at a time speaks for the node.
 func (n *Control) Run() {
@@ -368,8 +390,8 @@
 // follow has the loop follow what is agreed.
 func (n *Control) follow() {
 	for n.ctx.Err() == nil {
-		known := n.followed().Version
-		raw, err := proto.Marshal(&fleetpb.Orders{Version: known})
+		known := n.followed()
+		raw, err := proto.Marshal(&fleetpb.Orders{Version: known.Version, Log: known.Log})
 		if err != nil {
 			return
 		}
@@ -377,12 +399,12 @@
 		raw, err = n.call(ctx, kindOrders, raw)
 		cancel()
 		o := &fleetpb.Orders{}
-		if err != nil || len(raw) == 0 || proto.Unmarshal(raw, o) != nil || o.Version <= known {
+		if err != nil || len(raw) == 0 || proto.Unmarshal(raw, o) != nil || o.Log == known.Log && o.Version <= known.Version {
 			continue
 		}
-		if log := n.followed().Log; log != "" && log != o.Log {
+		if known.Log != "" && known.Log != o.Log {
 			n.log.Error("fleet: the voters hold another log than the one that this node follows; it goes on with what it knows. "+
-				"See \"All voters' disks are lost\" in docs/operate/fleet-control.md", "follows", log, "theirs", o.Log)
+				"See \"All voters' disks are lost\" in docs/operate/fleet-control.md", "follows", known.Log, "theirs", o.Log)
 			n.pause(n.c.Life)
 			continue
 		}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -47,7 +48,9 @@
 	foundingWait  = time.Second // for one voter's word
 	ordersHold    = time.Second // a call for orders is answered by then, news or not
 	entryWait     = 2 * time.Second
-	clockEvery    = time.Second // while somebody waits in the queue
+	gatherFor     = 10 * time.Millisecond // words of nodes for one entry,
+	gatherMost    = 1000                  // and so many
+	clockEvery    = time.Second           // while somebody waits in the queue
 	listedEvery   = 500 * time.Millisecond
 	listedMost    = 500 // servers told in one entry
 )
@@ -60,39 +63,75 @@
 	log     *slog.Logger
 	machine *fleet.Machine // the member's goroutine has it
 
-	mu       sync.Mutex
-	disk     *agree.Bolt
-	founding string
-	birth    string
-	member   *agree.Member // nil until the voters have found each other
-	changed  chan struct{} // closed at the next news
-	heard    map[string]time.Time
-	lapsing  map[string]uint64   // sessions whose end is on its way
-	dead     map[string][]string // servers, by the nodes that find them dead
+	mu        sync.Mutex
+	disk      *agree.Bolt
+	founding  agree.Founding
+	birth     string
+	ids       map[string]uint64 // raft's numbers of the voters, by name
+	gathering *gathering        // nil: none is open
+	member    *agree.Member     // nil until the voters have found each other
+	changed   chan struct{}     // closed at the next news
+	heard     map[string]time.Time
+	lapsing   map[string]uint64   // sessions whose end is on its way
+	dead      map[string][]string // servers, by the nodes that find them dead
 
 	orders atomic.Pointer[orders]
 	least  atomic.Uint32 // level that all members understand
 }
 
 type orders struct {
+	log     string
 	version uint64
 	raw     []byte
 }
 
-// voterID is raft's number of a voter.
-func voterID(name string) uint64 {
+// voterID is raft's number of a voter with that disk: one that lost its disk is another one.
+func voterID(name, birth string) uint64 {
 	h := fnv.New64a()
-	h.Write([]byte(name))
+	h.Write([]byte(name + "=" + birth))
 	return max(1, h.Sum64())
 }
 
+// number takes the voters' numbers from the births of their disks.
+func (v *voter) number(births map[string]string) {
+	ids := map[string]uint64{}
+	for name, birth := range births {
+		ids[name] = voterID(name, birth)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ids = ids
+}
+
+// id is a voter's number; 0: it is none. name is the voter's of a number; empty: nobody's.
+func (v *voter) id(name string) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.ids[name]
+}
+
+func (v *voter) name(id uint64) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, n := range v.ids {
+		if n == id {
+			return name
+		}
+	}
+	return ""
+}
+
 func newVoter(c *Config, listed func() []*fleetpb.Server, log *slog.Logger) (*voter, error) {
 	disk, err := agree.OpenBolt(filepath.Join(c.Folder, "log.db"))
 	if err != nil {
 		return nil, err
 	}
 	v := &voter{c: c, listed: listed, log: log, machine: fleet.New(), disk: disk, changed: make(chan struct{}), heard: map[string]time.Time{}, lapsing: map[string]uint64{}, dead: map[string][]string{}}
-	v.birth, v.founding = disk.Birth()
+	v.birth = disk.Birth()
+	if v.founding, err = disk.Founding(); err != nil {
+		disk.Close()
+		return nil, err
+	}
 	v.least.Store(fleet.Level)
 	return v, nil
 }
@@ -103,11 +142,19 @@
 	if !v.found(ctx) {
 		return
 	}
+	v.number(v.founding.Voters)
 	var ids []uint64
-	for _, o := range v.c.Voters {
-		ids = append(ids, voterID(o.Name))
+	for name, birth := range v.founding.Voters {
+		ids = append(ids, voterID(name, birth))
+	}
+	slices.Sort(ids)
+	if !v.founding.Joined {
+		*v.machine = *fleet.Found(v.founding.Voters)
+	}
+	core, err := agree.NewCore(agree.Options{ID: voterID(v.c.Name, v.birth), Voters: ids, Join: v.founding.Joined, Disk: v.disk, Machine: machine{v.machine}, Log: v.log})
+	if err == nil && len(v.machine.State().Voters) > 0 {
+		v.number(v.machine.State().Voters)
 	}
-	core, err := agree.NewCore(agree.Options{ID: voterID(v.c.Name), Voters: ids, Disk: v.disk, Machine: machine{v.machine}, Log: v.log})
 	if err != nil {
 		v.log.Error("fleet: this voter's log can't be used; the node serves on without a vote", "folder", v.c.Folder, "err", err)
 		return
@@ -129,12 +176,16 @@
 
 func (m machine) Apply(entry []byte) any { return m.Machine.Apply(entry) }
 
-type foundingWord struct{ Birth, Founding string }
+// foundingWord is what voters tell each other before they hold a log in common.
+type foundingWord struct {
+	Birth, Founding string
+	Voters          map[string]string // the births of their disks, as this voter has them agreed
+}
 
 // found makes sure which log this voter is part of. A voter whose disk is empty takes part only if all voters named began with it:
 // else its disk was lost, and with it its votes.
 func (v *voter) found(ctx context.Context) bool {
-	if v.founding != "" {
+	if v.founding.Log != "" {
 		return true
 	}
 	told := ""
@@ -145,7 +196,7 @@
 		}
 	}
 	for {
-		births, missing, other := []string{v.c.Name + "=" + v.birth}, []string{}, map[string]string{}
+		births, missing, other := map[string]string{v.c.Name: v.birth}, []string{}, map[string]foundingWord{}
 		for _, o := range v.c.Voters {
 			if o.Name == v.c.Name {
 				continue
@@ -155,34 +206,36 @@
 				missing = append(missing, o.Name)
 				continue
 			}
-			births = append(births, o.Name+"="+w.Birth)
+			births[o.Name] = w.Birth
 			if w.Founding != "" {
-				other[o.Name] = w.Founding
+				other[o.Name] = w
 			}
 		}
-		slices.Sort(births)
-		sum := sha256.Sum256([]byte(strings.Join(births, " ")))
-		founding, clash := hex.EncodeToString(sum[:8]), ""
-		for name, f := range other {
-			if f != founding {
+		f, clash := agree.Founding{Log: logName(births), Voters: births}, ""
+		for name, w := range other {
+			if w.Founding != f.Log {
 				clash = name
 			}
+			if w.Voters[v.c.Name] == v.birth && w.Founding != f.Log { // it was taken in since
+				f, clash, missing = agree.Founding{Log: w.Founding, Voters: w.Voters, Joined: true}, "", nil
+				break
+			}
 		}
 		switch {
 		case len(missing) > 0:
 			tell("its disk is empty, and not heard are %s: the first start wants all voters", strings.Join(missing, ", "))
 		case clash != "":
 			tell("its disk is empty, but %s has a log already that did not begin with this disk. If this voter's disk was lost, "+
-				"bring the disk back, or see \"A voter's disk is lost\" in docs/operate/fleet-control.md; nothing that was granted is forgotten meanwhile", clash)
+				"bring the disk back, or have it taken in with its new one: starlingvalve fleet renew %s", clash, v.c.Name)
 		default:
-			if err := v.disk.Found(founding); err != nil {
+			if err := v.disk.Found(f); err != nil {
 				tell("%v", err)
 				break
 			}
 			v.mu.Lock()
-			v.founding = founding
+			v.founding = f
 			v.mu.Unlock()
-			v.log.Info("fleet: the voters have found each other", "log", founding)
+			v.log.Info("fleet: the voters have found each other", "log", f.Log, "joined", f.Joined)
 			return true
 		}
 		select {
@@ -193,6 +246,17 @@
 	}
 }
 
+// logName names a log by the births of the disks that it began with.
+func logName(births map[string]string) string {
+	var list []string
+	for name, birth := range births {
+		list = append(list, name+"="+birth)
+	}
+	slices.Sort(list)
+	sum := sha256.Sum256([]byte(strings.Join(list, " ")))
+	return hex.EncodeToString(sum[:8])
+}
+
 func (v *voter) askFounding(ctx context.Context, o Voter) (w foundingWord, err error) {
 	ctx, cancel := context.WithTimeout(ctx, foundingWait)
 	defer cancel()
@@ -205,8 +269,9 @@
 
 // send is the member's way to other voters.
 func (v *voter) send(m *raftpb.Message) {
+	to := v.name(m.GetTo())
 	for _, o := range v.c.Voters {
-		if voterID(o.Name) != m.GetTo() {
+		if o.Name != to {
 			continue
 		}
 		raw, err := proto.Marshal(m)
@@ -234,7 +299,7 @@
 	for end := time.Now().Add(within); m.Status().Leads && time.Now().Before(end); time.Sleep(v.c.Tick / 4) {
 		for _, o := range v.c.Voters {
 			if o.Name != v.c.Name && v.calls.Up(v.c.full(o.Name), o.Address) {
-				m.Transfer(voterID(o.Name))
+				m.Transfer(v.id(o.Name))
 				break
 			}
 		}
@@ -248,16 +313,12 @@
 		return
 	}
 	message := &raftpb.Message{}
-	if proto.Unmarshal(raw, message) != nil || message.GetFrom() != voterID(v.c.short(from)) || !v.voter(v.c.short(from)) {
+	if proto.Unmarshal(raw, message) != nil || message.GetFrom() != v.id(v.c.short(from)) {
 		return
 	}
 	m.Step(message)
 }
 
-func (v *voter) voter(name string) bool {
-	return slices.ContainsFunc(v.c.Voters, func(o Voter) bool { return o.Name == name })
-}
-
 func (v *voter) current() *agree.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -267,14 +328,17 @@
 // news is told by the member's goroutine, which has the machine.
 func (v *voter) news() {
 	v.least.Store(v.machine.LeastLevel())
+	if voters := v.machine.State().Voters; len(voters) > 0 { // a voter that joins has them from the others
+		v.number(voters)
+	}
 	o := v.machine.Orders()
-	o.Log = v.founding
+	o.Log = v.founding.Log
 	if was := v.orders.Load(); was == nil || was.version != o.Version {
 		raw, err := proto.Marshal(o)
 		if err != nil {
 			return
 		}
-		v.orders.Store(&orders{o.Version, raw})
+		v.orders.Store(&orders{o.Log, o.Version, raw})
 		v.mu.Lock()
 		close(v.changed)
 		v.changed = make(chan struct{})
@@ -286,8 +350,11 @@
 func (v *voter) handle(ctx context.Context, from string, kind uint64, raw []byte) (uint64, []byte) {
 	if kind == kindFounding {
 		v.mu.Lock()
-		w := foundingWord{v.birth, v.founding}
+		w := foundingWord{Birth: v.birth, Founding: v.founding.Log}
 		v.mu.Unlock()
+		if m := v.current(); m != nil {
+			w.Voters, _ = agree.View(ctx, m, func() (map[string]string, error) { return maps.Clone(v.machine.State().Voters), nil })
+		}
 		out, _ := json.Marshal(w)
 		return statusOK, out
 	}
@@ -309,13 +376,19 @@
 		if o := e.GetOpen(); o != nil {
 			return v.answer(v.keepAlive(ctx, m, e, o))
 		}
+		if r := e.GetRenew(); r != nil {
+			return v.answer(v.renew(ctx, m, e, r))
+		}
+		if w := e.GetStopped(); w != nil {
+			return v.answer(v.gather(ctx, m, w.Acks))
+		}
 		return v.answer(v.propose(ctx, m, e))
 	case kindOrders:
 		e := &fleetpb.Orders{}
 		if err := proto.Unmarshal(raw, e); err != nil {
 			return statusBad, []byte(err.Error())
 		}
-		return statusOK, v.ordersBehind(ctx, e.Version)
+		return statusOK, v.ordersBehind(ctx, e)
 	case kindState:
 		if err := m.Lead(ctx); err != nil {
 			return v.answer(nil, err)
@@ -354,7 +427,7 @@
 			}
 		}
 		return nil
-	case *fleetpb.Entry_Budgets, *fleetpb.Entry_Drain, *fleetpb.Entry_Return, *fleetpb.Entry_Withdraw, *fleetpb.Entry_Forget, *fleetpb.Entry_Hold:
+	case *fleetpb.Entry_Budgets, *fleetpb.Entry_Drain, *fleetpb.Entry_Return, *fleetpb.Entry_Withdraw, *fleetpb.Entry_Forget, *fleetpb.Entry_Hold, *fleetpb.Entry_Renew:
 		return nil
 	}
 	return errors.New("no word that a node may say")
@@ -365,12 +438,7 @@
 	case errors.Is(err, agree.ErrNotLeader):
 		name := ""
 		if m := v.current(); m != nil {
-			leader := m.Status().Leader
-			for _, o := range v.c.Voters {
-				if voterID(o.Name) == leader {
-					name = o.Name
-				}
-			}
+			name = v.name(m.Status().Leader)
 		}
 		return statusNotLeader, []byte(name)
 	case err != nil:
@@ -401,6 +469,69 @@
 	return r.(*fleetpb.Result), nil
 }
 
+// renew takes a voter in that has a new disk, which it is asked for.
+func (v *voter) renew(ctx context.Context, m *agree.Member, e *fleetpb.Entry, r *fleetpb.RenewVoter) (*fleetpb.Result, error) {
+	if err := m.Lead(ctx); err != nil {
+		return nil, err
+	}
+	at := slices.IndexFunc(v.c.Voters, func(o Voter) bool { return o.Name == r.Node })
+	switch {
+	case at < 0:
+		return &fleetpb.Result{Code: fleetpb.Result_INVALID, Reason: fmt.Sprintf("renew: %s is no voter", r.Node)}, nil
+	case r.Node == v.c.Name:
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: r.Node + " leads: nothing is lost"}, nil
+	}
+	w, err := v.askFounding(ctx, v.c.Voters[at])
+	if err != nil {
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: fmt.Sprintf("renew: %s does not answer; start it with its new disk first: %v", r.Node, err)}, nil
+	}
+	r.Birth = w.Birth
+	return v.propose(ctx, m, e)
+}
+
+// gathering is words of nodes that go into one entry of the log: all nodes have stopped at about the same time.
+type gathering struct {
+	acks   []*fleetpb.Ack
+	done   chan struct{} // closed once what follows is known
+	result *fleetpb.Result
+	err    error
+}
+
+// gather has nodes' words wait for each other for a moment. Whoever comes first proposes them.
+func (v *voter) gather(ctx context.Context, m *agree.Member, acks []*fleetpb.Ack) (*fleetpb.Result, error) {
+	v.mu.Lock()
+	g := v.gathering
+	first := g == nil
+	if first {
+		g = &gathering{done: make(chan struct{})}
+		v.gathering = g
+	}
+	g.acks = append(g.acks, acks...)
+	if len(g.acks) >= gatherMost {
+		v.gathering = nil
+	}
+	v.mu.Unlock()
+	if !first {
+		select {
+		case <-g.done:
+			return g.result, g.err
+		case <-ctx.Done():
+			return nil, agree.ErrUnknown
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), entryWait) // others wait for it too
+	defer cancel()
+	time.Sleep(gatherFor)
+	v.mu.Lock()
+	if v.gathering == g {
+		v.gathering = nil
+	}
+	v.mu.Unlock()
+	g.result, g.err = v.propose(ctx, m, &fleetpb.Entry{What: &fleetpb.Entry_Stopped{Stopped: &fleetpb.Stopped{Acks: g.acks}}})
+	close(g.done)
+	return g.result, g.err
+}
+
 // keepAlive opens a node's session, or notes that it was heard, which costs no entry. Either way this voter has been the leader
 // since the node asked: another one, that may let the session lapse, counts from later.
 func (v *voter) keepAlive(ctx context.Context, m *agree.Member, e *fleetpb.Entry, o *fleetpb.OpenSession) (*fleetpb.Result, error) {
@@ -434,15 +565,15 @@
 	return &fleetpb.Result{Code: fleetpb.Result_DONE, Epoch: epoch}, nil
 }
 
-// ordersBehind waits a while for orders of a later version than one that is known.
-func (v *voter) ordersBehind(ctx context.Context, known uint64) []byte {
+// ordersBehind waits a while for orders of a later version than one that is known, or of another log.
+func (v *voter) ordersBehind(ctx context.Context, known *fleetpb.Orders) []byte {
 	ctx, cancel := context.WithTimeout(ctx, ordersHold)
 	defer cancel()
 	for {
 		v.mu.Lock()
 		changed := v.changed
 		v.mu.Unlock()
-		if o := v.orders.Load(); o != nil && o.version > known {
+		if o := v.orders.Load(); o != nil && (o.version > known.Version || o.log != known.Log) {
 			return o.raw
 		}
 		select {
@@ -493,6 +624,9 @@
 			clock = time.Now()
 			d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Clock{Clock: &fleetpb.Clock{}}})
 		}
+		if !sameIDs(d.voters, s.Voters) {
+			m.Reconfigure(d.voters)
+		}
 		for _, e := range d.entries {
 			ctx, cancel := context.WithTimeout(ctx, entryWait)
 			r, err := v.propose(ctx, m, e)
@@ -507,13 +641,24 @@
 
 type due struct {
 	entries []*fleetpb.Entry
-	waits   bool // somebody is in the queue
+	waits   bool     // somebody is in the queue
+	voters  []uint64 // that are to hold the log
+}
+
+func sameIDs(a, b []uint64) bool {
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(a, b)
 }
 
 // due is what the leader has to say now. The member's goroutine calls it.
 func (v *voter) due(now time.Time, list []*fleetpb.Server) (d due) {
 	s := v.machine.State()
 	d.waits = len(s.Queue) > 0
+	for name, birth := range s.Voters {
+		d.voters = append(d.voters, voterID(name, birth))
+	}
 	if !s.BudgetsSet {
 		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Budgets{Budgets: &fleetpb.SetBudgets{Budgets: v.c.Budgets, By: v.c.Name}}})
 	}
--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -63,6 +63,9 @@
 	if o == nil {
 		return invalid("return: %s is not drained", r.Target)
 	}
+	if r.Epoch != 0 && r.Epoch != o.Epoch {
+		return &fleetpb.Result{Code: fleetpb.Result_FENCED, Epoch: o.Epoch, Reason: fmt.Sprintf("%s is drained at epoch %d by %s, not at %d any more", r.Target, o.Epoch, o.By, r.Epoch)}
+	}
 	delete(m.s.Outs, r.Target)
 	m.s.Orders++
 	m.log(r.By, "%s returned, drained at epoch %d by %s: %s", r.Target, o.Epoch, o.By, r.Why)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,13 @@
 	return &Machine{s: fill(&fleetpb.State{Level: Level})}
 }
 
+// Found makes the machine that a log begins with: its voters, by the births of their disks.
+func Found(voters map[string]string) *Machine {
+	m := New()
+	m.s.Voters = maps.Clone(voters)
+	return m
+}
+
 func fill(s *fleetpb.State) *fleetpb.State {
 	if s.Servers == nil {
 		s.Servers = map[string]*fleetpb.Server{}
@@ -166,6 +173,8 @@
 		return m.hold(w.Hold)
 	case *fleetpb.Entry_Observed:
 		return m.observed(w.Observed)
+	case *fleetpb.Entry_Renew:
+		return m.renew(w.Renew)
 	case *fleetpb.Entry_Clock:
 		return done(m.s.Epoch)
 	}
@@ -340,6 +349,23 @@
 	return done(m.next())
 }
 
+// renew notes that a voter's disk is another one from here on.
+func (m *Machine) renew(r *fleetpb.RenewVoter) *fleetpb.Result {
+	if err := text(r.Node, r.Birth, r.By, r.Why); err != nil || r.Birth == "" {
+		return invalid("renew: disk %.50q: %v", r.Birth, err)
+	}
+	was, ok := m.s.Voters[r.Node]
+	switch {
+	case !ok:
+		return invalid("renew: %s is no voter", r.Node)
+	case was == r.Birth:
+		return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: r.Node + " has the disk that it had: nothing is lost"}
+	}
+	m.s.Voters[r.Node] = r.Birth
+	m.log(r.By, "voter %s taken in with a new disk, %s in place of %s: %s", r.Node, r.Birth, was, r.Why)
+	return done(m.next())
+}
+
 // stopped notes what nodes say of drains. Words of an older session, or of an older drain, are nothing.
 func (m *Machine) stopped(s *fleetpb.Stopped) *fleetpb.Result {
 	for _, a := range s.Acks {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -236,6 +236,9 @@
 	again := w.drain("s-0", 0)
 	check("drained once more", false, "n1 n2 n3", "")
 	ack("n1", e1, drain)
+	if r := w.say("", &fleetpb.Return{Target: target, Epoch: drain}); r.Code != fleetpb.Result_FENCED {
+		t.Errorf("who held the first drain ends the second one: %v", r)
+	}
 	if again.Epoch <= drain {
 		t.Errorf("epoch %d after %d", again.Epoch, drain)
 	}
