Nodes watch for orders four seconds at a time, and leave a voter that leads no more

Change: a watch waits 4 s in place of 1 and is dropped when the session's calls find another leader; three keep-alives in a session's life in place of four.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -37,7 +37,7 @@
 }
 
 const (
-	aliveParts  = 4 // keep-alives in a session's life
+	aliveParts  = 3 // keep-alives in a session's life
 	callWait    = 1500 * time.Millisecond
 	againAfter  = 100 * time.Millisecond
 	leftEvery   = 20 * time.Millisecond
@@ -70,6 +70,7 @@
 	until   time.Time // the session holds, counted from before it was asked for
 	held    held
 	follows chan struct{} // closed at the next order
+	moved   chan struct{} // closed when another voter is asked first
 	silent  bool          // a process that replaces this one serves beside it
 }
 
@@ -85,7 +86,7 @@
 	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
 		return nil, fmt.Errorf("%s: node.folder: %w", c.Path, err)
 	}
-	n := &Control{c: c, loop: loop, away: away, log: log, process: rand.Text(), follows: make(chan struct{})}
+	n := &Control{c: c, loop: loop, away: away, log: log, process: rand.Text(), follows: make(chan struct{}), moved: make(chan struct{})}
 	var err error
 	if n.held, err = n.kept(); err != nil {
 		log.Warn("fleet: what this node followed before is not known", "err", err)
@@ -287,7 +288,11 @@
 		at := n.leader
 		n.mu.Unlock()
 		v := n.c.Voters[at]
-		one, cancel := context.WithTimeout(ctx, callWait)
+		wait := callWait
+		if kind == kindOrders {
+			wait += ordersHold
+		}
+		one, cancel := context.WithTimeout(ctx, wait)
 		status, answer, err := n.one(one, v, kind, request)
 		cancel()
 		next := (at + 1) % len(n.c.Voters)
@@ -309,8 +314,10 @@
 			}
 		}
 		n.mu.Lock()
-		if n.leader == at {
+		if n.leader == at && next != at {
 			n.leader = next
+			close(n.moved)
+			n.moved = make(chan struct{})
 		}
 		n.mu.Unlock()
 		select {
@@ -395,8 +402,20 @@
 		if err != nil {
 			return
 		}
-		ctx, cancel := context.WithTimeout(n.ctx, n.c.Life)
+		ctx, cancel := context.WithTimeout(n.ctx, ordersHold+n.c.Life)
+		n.mu.Lock()
+		moved := n.moved
+		n.mu.Unlock()
+		watching := make(chan struct{})
+		n.work.Go(func() { // a voter that leads no more may hear no news; the session's calls find that out
+			select {
+			case <-moved:
+				cancel()
+			case <-watching:
+			}
+		})
 		raw, err = n.call(ctx, kindOrders, raw)
+		close(watching)
 		cancel()
 		o := &fleetpb.Orders{}
 		if err != nil || len(raw) == 0 || proto.Unmarshal(raw, o) != nil || o.Log == known.Log && o.Version <= known.Version {
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -45,8 +45,8 @@
 
 const (
 	foundingEvery = 500 * time.Millisecond
-	foundingWait  = time.Second // for one voter's word
-	ordersHold    = time.Second // a call for orders is answered by then, news or not
+	foundingWait  = time.Second     // for one voter's word
+	ordersHold    = 4 * time.Second // a call for orders is answered by then, news or not
 	entryWait     = 2 * time.Second
 	gatherFor     = 10 * time.Millisecond // words of nodes for one entry,
 	gatherMost    = 1000                  // and so many
@@ -362,6 +362,13 @@
 	if m == nil {
 		return statusNotLeader, nil
 	}
+	if kind == kindOrders { // it may take a while
+		e := &fleetpb.Orders{}
+		if err := proto.Unmarshal(raw, e); err != nil {
+			return statusBad, []byte(err.Error())
+		}
+		return statusOK, v.ordersBehind(ctx, e)
+	}
 	ctx, cancel := context.WithTimeout(ctx, entryWait)
 	defer cancel()
 	switch kind {
@@ -383,12 +390,6 @@
 			return v.answer(v.gather(ctx, m, w.Acks))
 		}
 		return v.answer(v.propose(ctx, m, e))
-	case kindOrders:
-		e := &fleetpb.Orders{}
-		if err := proto.Unmarshal(raw, e); err != nil {
-			return statusBad, []byte(err.Error())
-		}
-		return statusOK, v.ordersBehind(ctx, e)
 	case kindState:
 		if err := m.Lead(ctx); err != nil {
 			return v.answer(nil, err)
