--- a/cmd/rig/agreement.go
+++ b/cmd/rig/agreement.go
@@ -172,6 +172,7 @@
 func (idleLoop) Left(core.Held) (int, bool) { return 0, true }
 func (idleLoop) Open() (int, bool)          { return 0, true }
 func (idleLoop) Suspects() []string         { return nil }
+func (idleLoop) Able() bool                 { return true }
 func (idleLoop) Listed() core.List          { return core.List{} }
 
 // sessions has ever more nodes keep sessions, and proves drains among them.
--- a/cmd/rig/child.go
+++ b/cmd/rig/child.go
@@ -93,10 +93,18 @@
 }
 
 func (w *workshop) start(env []string, name string, args ...string) (*child, error) {
+	return w.startAs(nil, syscall.SIGKILL, env, name, args...)
+}
+
+// startAs starts a process that writes to a file, if there is one, and that gets a signal when the rig itself is no more.
+func (w *workshop) startAs(log *os.File, last syscall.Signal, env []string, name string, args ...string) (*child, error) {
 	c := &child{cmd: exec.Command(name, args...), ended: make(chan struct{})}
 	c.cmd.Env = append(os.Environ(), env...)
 	c.cmd.Stdout, c.cmd.Stderr = &c.log, &c.log
-	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	if log != nil { // no pipe: processes that it starts may outlive it
+		c.cmd.Stdout, c.cmd.Stderr = log, log
+	}
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: last, Setpgid: true}
 	if err := c.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
--- a/cmd/rig/pack.go
+++ b/cmd/rig/pack.go
@@ -30,6 +30,7 @@
 	budgets  string
 	session  time.Duration // a session's life
 	tick     time.Duration
+	watched  bool // each member's process is a supervisor, which keeps the node's
 	members  []*packed
 	history  *history
 }
@@ -165,6 +166,12 @@
 		fmt.Fprintf(&b, "\n[[voter]]\nname = %q\naddress = %q\n", v.name, addr)
 	}
 	b.WriteString(p.budgets)
+	if p.watched {
+		text := fmt.Sprintf("[supervise]\nfleet = %q\nfolder = %q\ndrain_ms = 1000\nend_ms = 6000\nready_ms = 4000\n", m.file, base+"-programs")
+		if err := os.WriteFile(m.supervisor(), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
 	for name, content := range map[string][]byte{base + ".crt": cert, base + ".key": key, base + ".roots": p.auth.RootPEM(), m.file: b.Bytes()} {
 		if err := os.WriteFile(name, content, 0o600); err != nil {
 			return err
@@ -181,7 +188,18 @@
 	if err != nil {
 		return err
 	}
-	c, err := p.w.start([]string{"GW_CONFIG=" + path, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", "TMPDIR=" + p.w.dir}, p.w.binary, "-fleet", m.file)
+	env := []string{"GW_CONFIG=" + path, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", "TMPDIR=" + p.w.dir}
+	var c *child
+	if p.watched {
+		var log *os.File
+		if log, err = os.OpenFile(m.supervisor()+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+			return err
+		}
+		defer log.Close()
+		c, err = p.w.startAs(log, syscall.SIGTERM, env, p.w.binary, "supervise", m.supervisor())
+	} else {
+		c, err = p.w.start(env, p.w.binary, "-fleet", m.file)
+	}
 	if err != nil {
 		return err
 	}
@@ -196,6 +214,11 @@
 	return nil
 }
 
+// supervisor is the file of a member's supervisor.
+func (m *packed) supervisor() string {
+	return strings.TrimSuffix(m.file, "-fleet.toml") + "-supervise.toml"
+}
+
 // up ends the time in which a member could not answer. It is called under the lock.
 func (m *packed) up() {
 	if n := len(m.down); n > 0 && m.down[n-1].to.IsZero() {
@@ -253,6 +276,9 @@
 	for _, n := range m.procs {
 		all = append(all, n.log.String())
 	}
+	if text, err := os.ReadFile(m.supervisor() + ".log"); err == nil {
+		all = append(all, string(text))
+	}
 	return all
 }
 
@@ -280,6 +306,15 @@
 }
 
 func (p *pack) close() {
+	var ending sync.WaitGroup
+	for _, m := range p.members {
+		m.mu.Lock()
+		if n := m.proc; p.watched && n != nil { // it ends its node
+			ending.Go(n.stop)
+		}
+		m.mu.Unlock()
+	}
+	ending.Wait()
 	for _, m := range p.members {
 		m.kill()
 		for _, w := range m.wires {
@@ -340,9 +375,14 @@
 
 // ask runs the program's fleet command as a process of its own, through a member's socket, and gives what it prints and its exit code.
 func (p *pack) ask(ctx context.Context, m *packed, args ...string) (string, int) {
+	return p.command(ctx, m, "fleet", args...)
+}
+
+// command runs one of the program's commands.
+func (p *pack) command(ctx context.Context, m *packed, name string, args ...string) (string, int) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	cmd := exec.CommandContext(ctx, p.w.binary, append([]string{"fleet", "--socket", m.socket}, args...)...)
+	cmd := exec.CommandContext(ctx, p.w.binary, append([]string{name, "--socket", m.socket}, args...)...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	var out, errs bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &errs
--- /dev/null
+++ b/cmd/rig/release_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/standin"
+)
+
+// watch notes how many members do not live at one moment, seen from outside.
+type watch struct {
+	mu    sync.Mutex
+	worst int
+	who   string
+}
+
+func (w *watch) run(ctx context.Context, p *pack) {
+	client := &http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		down := []string{}
+		for _, m := range p.members {
+			resp, err := client.Get("http://" + m.listen + "/health/live")
+			if err != nil {
+				if !strings.Contains(err.Error(), "refused") {
+					continue // late, not down
+				}
+				down = append(down, m.name)
+				continue
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		w.mu.Lock()
+		if len(down) > w.worst {
+			w.worst, w.who = len(down), strings.Join(down, " ")
+		}
+		w.mu.Unlock()
+		sleepFor(ctx, 5*time.Millisecond)
+	}
+}
+
+// Releases on real processes under load, each node under a supervisor: one whose program ends at once, and one that is never ready, halt at
+// the canary and turn back whole, and are not tried again; a good one goes on while a supervisor is killed, and ends done.
+func TestReleasesOnProcesses(t *testing.T) {
+	w, err := newWorkshop(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	f, err := openZones(6, []string{"a"}, 4, kampklipWork(0.2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	auth, err := standin.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := (&pack{w: w, auth: auth, registry: f.registry.Addr, voters: 3, budgets: "\n[[budget]]\nname = \"one\"\non = \"nodes\"\nby = \"fleet\"\nmost_out = 1\n", session: packSession,
+		tick: packTick, watched: true, history: &history{out: os.Stderr, began: time.Now()}}).open(t.Context(), 5, []string{"a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	program, err := os.ReadFile(w.binary)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// hold has every supervisor hold a program, and gives its version.
+	hold := func(name string, content []byte) (version string) {
+		t.Helper()
+		path := filepath.Join(w.dir, name)
+		if err := os.WriteFile(path, content, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range p.members {
+			out, err := exec.Command(w.binary, "supervise", m.supervisor(), "--add", path).Output()
+			if err != nil {
+				t.Fatal(err)
+			}
+			version = strings.TrimSpace(string(out))
+		}
+		return version
+	}
+	before := hold("before", program)
+	good, crash, never := hold("good", append(program, "next"...)), hold("crash", []byte("#!/bin/sh\nexit 3\n")), hold("never", []byte("#!/bin/sh\nexec sleep 60\n"))
+	plan := func(name, version string, limit time.Duration) string {
+		path := filepath.Join(w.dir, name+".toml")
+		text := fmt.Sprintf("[release]\nname = %q\nversion = %q\nbefore = %q\nsoak_ms = 300\nlimit_ms = %d\nmost_crashes = 1\nturn_back = true\n", name, version, before, limit.Milliseconds())
+		for _, wave := range []string{`["n5"]`, `["n4"]`, `["n3", "n2", "n1"]`} {
+			text += "\n[[wave]]\nnodes = " + wave + "\n"
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	type status struct {
+		Release struct {
+			State, Cause string
+			Wave         int
+		}
+		Units map[string]struct{ Version, State string }
+	}
+	look := func() (s status) {
+		for _, m := range p.members {
+			if text, code := p.command(t.Context(), m, "release", "status", "-o", "json"); code == 0 {
+				json.NewDecoder(bytes.NewBufferString(text)).Decode(&s)
+				return s
+			}
+		}
+		return s
+	}
+	until := func(what string, done func(s status) bool) status {
+		t.Helper()
+		for end := time.Now().Add(2 * settleWait); ; sleepFor(t.Context(), 50*time.Millisecond) {
+			s := look()
+			if done(s) {
+				return s
+			}
+			if time.Now().After(end) {
+				text, _ := p.ask(t.Context(), p.members[0], "history")
+				t.Fatalf("%s: not within %v: %+v\n%s", what, 2*settleWait, s, text)
+			}
+		}
+	}
+	all := func(s status, version string) (n int) {
+		for _, u := range s.Units {
+			if u.Version == version && u.State == "ready" {
+				n++
+			}
+		}
+		return n
+	}
+	until("supervisors tell of all nodes", func(s status) bool { return all(s, before) == 5 })
+
+	loading, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	seen := &watch{}
+	running.Go(func() { seen.run(loading, p) })
+	var loads []*standin.Load
+	for i, m := range p.members {
+		l := &standin.Load{Addr: m.listen, Classes: kampklip, Retries: 2, Prefix: m.name + "-", KeepLog: true, Seed: uint64(i)}
+		loads = append(loads, l)
+		running.Go(func() { l.Open(loading, 30, 500) })
+	}
+	say := func(want int, part string, args ...string) {
+		t.Helper()
+		if text, code := p.command(t.Context(), p.members[1], "release", args...); code != want || !strings.Contains(text, part) {
+			t.Fatalf("%v: exit code %d, %s; want %d with %q", args, code, text, want, part)
+		}
+	}
+	for _, bad := range []struct{ name, version, cause string }{{"crashing", crash, "crashes of version"}, {"mute", never, "crashes of version"}} {
+		file := plan(bad.name, bad.version, 20*time.Second)
+		say(0, "would be done", "plan", file)
+		say(0, "done", "start", file)
+		s := until(bad.name+" is turned back", func(s status) bool { return s.Release.State == "turned back" })
+		if all(s, before) != 5 || s.Release.Wave != 0 || !strings.Contains(s.Release.Cause, bad.cause) {
+			t.Errorf("%s: %+v", bad.name, s)
+		}
+		say(3, "turned back before", "start", file)
+	}
+	for _, m := range p.members[:4] { // only the canary met them
+		if text := strings.Join(m.logs(), ""); strings.Contains(text, "supervise: turn") {
+			t.Errorf("%s had a turn", m.name)
+		}
+	}
+
+	say(0, "done", "start", plan("good", good, time.Minute))
+	until("the canary is done", func(s status) bool { return s.Release.Wave >= 1 })
+	p.members[3].kill() // the supervisor alone: its node runs on
+	if err := p.start(t.Context(), 3); err != nil {
+		t.Fatal(err)
+	}
+	s := until("the release is done", func(s status) bool { return s.Release.State != "running" })
+	if s.Release.State != "done" || all(s, good) != 5 {
+		text, _ := p.ask(t.Context(), p.members[0], "history")
+		t.Errorf("%+v\n%s", s, text)
+	}
+	stop()
+	running.Wait()
+	if seen.worst > 1 {
+		t.Errorf("%d nodes were down at one moment: %s", seen.worst, seen.who)
+	}
+	e := standin.Evidence{Classes: kampklip, Executions: f.executions(), Told: f.registry.Told()}
+	for _, l := range loads {
+		e.Answers = append(e.Answers, l.Log()...)
+	}
+	if len(e.Answers) < 500 {
+		t.Errorf("%d tries: too few to tell", len(e.Answers))
+	}
+	for _, v := range standin.Check(e) {
+		if v.Count > 0 {
+			t.Error(v)
+		}
+	}
+}
--- a/cmd/starlingvalve/fleet.go
+++ b/cmd/starlingvalve/fleet.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"starlingvalve/internal/control"
 	"starlingvalve/internal/fleet"
@@ -47,15 +48,15 @@
 const codesHelp = `Exit codes: 0 done, 1 wrong use, 3 refused by a budget, 4 waiting in the queue, 5 not proven (the nodes unheard are named),
 6 the agreement is out of reach.`
 
-func fleetCommand() *cobra.Command {
-	a := &asking{}
-	root := &cobra.Command{Use: "fleet", Short: "Ask the fleet's agreement: what is out, drains, budgets", Long: "Ask the fleet's agreement, through the socket of any node.\n\n" + codesHelp,
+// command makes a command whose subcommands ask the agreement through a node's socket.
+func (a *asking) command(use, short string) (root *cobra.Command, add func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, *control.Door, []string) error) *cobra.Command) {
+	root = &cobra.Command{Use: use, Short: short, Long: short + ", through the socket of any node.\n\n" + codesHelp,
 		PersistentPreRunE: func(*cobra.Command, []string) error {
 			if a.socket == "" {
-				return errors.New("fleet: want --socket, the `socket` of some node's fleet file, or GW_FLEET_SOCKET")
+				return fmt.Errorf("%s: want --socket, the `socket` of some node's fleet file, or GW_FLEET_SOCKET", use)
 			}
 			if a.output != "text" && a.output != "json" {
-				return fmt.Errorf("fleet: --output: want text or json, have %q", a.output)
+				return fmt.Errorf("%s: --output: want text or json, have %q", use, a.output)
 			}
 			return nil
 		}}
@@ -68,11 +69,11 @@
 	root.PersistentFlags().StringVar(&a.why, "why", "", "the reason, for the history")
 	root.PersistentFlags().StringVar(&a.number, "ask", "", "a `number` of your own for this ask: asked again with the same one, it has no second effect and the first answer")
 	root.PersistentFlags().StringVarP(&a.output, "output", "o", "text", "text or json")
-	add := func(use, short string, args cobra.PositionalArgs, run func(c *cobra.Command, d *control.Door, args []string) error) *cobra.Command {
+	return root, func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, *control.Door, []string) error) *cobra.Command {
 		c := &cobra.Command{Use: use, Short: short, Args: args, RunE: func(c *cobra.Command, args []string) error {
 			err := run(c, control.Knock(a.socket), args)
 			if errors.Is(err, control.ErrDoor) {
-				fmt.Fprintln(os.Stderr, "starlingvalve: fleet:", err)
+				fmt.Fprintln(os.Stderr, "starlingvalve:", root.Use+":", err)
 				return exitCode(exitOutOfHand)
 			}
 			return err
@@ -80,6 +81,20 @@
 		root.AddCommand(c)
 		return c
 	}
+}
+
+func printJSON(w io.Writer, m proto.Message) error {
+	raw, err := protojson.Marshal(m)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(w, string(raw))
+	return nil
+}
+
+func fleetCommand() *cobra.Command {
+	a := &asking{}
+	root, add := a.command("fleet", "Ask the fleet's agreement: what is out, drains, budgets")
 	add("status", "What is out, who waits, the nodes, and this node's own view", cobra.NoArgs, a.status)
 	add("budget", "Each budget, and what is out of its groups", cobra.NoArgs, a.budget)
 	add("history", "Who asked what, and what became of it", cobra.NoArgs, a.history)
@@ -147,11 +162,9 @@
 // tell prints a result and gives its exit code.
 func (a *asking) tell(w io.Writer, before string, r *fleetpb.Result) error {
 	if a.json() {
-		raw, err := protojson.Marshal(r)
-		if err != nil {
+		if err := printJSON(w, r); err != nil {
 			return err
 		}
-		fmt.Fprintln(w, string(raw))
 	} else {
 		line := strings.TrimSpace(before + " " + strings.ToLower(r.Code.String()))
 		if r.Epoch > 0 {
@@ -240,12 +253,7 @@
 	}
 	s := m.State()
 	if a.json() {
-		raw, err := protojson.Marshal(s)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(c.OutOrStdout(), string(raw))
-		return nil
+		return printJSON(c.OutOrStdout(), s)
 	}
 	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 	defer w.Flush()
@@ -301,11 +309,9 @@
 	}
 	for _, e := range m.State().History {
 		if a.json() {
-			raw, err := protojson.Marshal(e)
-			if err != nil {
+			if err := printJSON(c.OutOrStdout(), e); err != nil {
 				return err
 			}
-			fmt.Fprintln(c.OutOrStdout(), string(raw))
 			continue
 		}
 		fmt.Fprintf(c.OutOrStdout(), "%s  epoch %-4d %-12s %s\n", time.UnixMilli(e.AtMs).Format(time.RFC3339), e.Epoch, e.By, e.What)
--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -25,6 +25,7 @@
 	"starlingvalve/internal/gateway"
 	"starlingvalve/internal/logqueue"
 	"starlingvalve/internal/recorder"
+	"starlingvalve/internal/supervise"
 )
 
 const gcPercent = 400 // the heap is small: fewer collections leave the one core to requests
@@ -56,7 +57,7 @@
 	root.Flags().StringVar(&files.record, "record", "", "record what arrives as this `FILE` says (see deploy/record.toml)")
 	root.Flags().StringVar(&files.fleet, "fleet", "", "agree with other nodes on what may be out, as this `FILE` says (see deploy/fleet.toml)")
 	root.AddCommand(
-		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway file or a fleet file, certificates included, or of a record file", Args: cobra.ExactArgs(1),
+		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway, fleet, supervisor's, record or release file, certificates included", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
 				if has(args[0], "node") {
 					f, err := control.Load(args[0], time.Now())
@@ -66,6 +67,22 @@
 					fmt.Fprintf(c.OutOrStdout(), "%s: good: node %s, %d voters, %d budgets\n", args[0], f.Name, len(f.Voters), len(f.Budgets))
 					return nil
 				}
+				if has(args[0], "supervise") {
+					f, err := supervise.Load(args[0], time.Now())
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(c.OutOrStdout(), "%s: good: supervises node %s\n", args[0], f.Fleet.Name)
+					return nil
+				}
+				if has(args[0], "release") {
+					p, err := loadPlan(args[0])
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(c.OutOrStdout(), "%s: good: release %s, %d waves\n", args[0], p.Name, len(p.Waves))
+					return nil
+				}
 				if has(args[0], "record") {
 					r, err := recorder.Load(args[0])
 					if err != nil {
@@ -84,7 +101,7 @@
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), "starlingvalve", version())
 		}})
-	root.AddCommand(fleetCommand())
+	root.AddCommand(fleetCommand(), releaseCommand(), superviseCommand(slog.New(slog.NewTextHandler(log, nil))))
 	root.SetArgs(dashes(os.Args[1:]))
 	return root
 }
--- /dev/null
+++ b/cmd/starlingvalve/release.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"starlingvalve/internal/control"
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/fleetpb"
+	"starlingvalve/internal/supervise"
+	"starlingvalve/internal/tomlfile"
+)
+
+// loadPlan reads a plan and checks all of it. An error is one line with file, line and key.
+func loadPlan(path string) (*fleetpb.Plan, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var f struct {
+		Release struct {
+			Name        string `toml:"name"`
+			Version     string `toml:"version"`
+			Before      string `toml:"before"`
+			Why         string `toml:"why"`
+			SoakMs      int64  `toml:"soak_ms"`
+			LimitMs     int64  `toml:"limit_ms"`
+			MostCrashes uint32 `toml:"most_crashes"`
+			TurnBack    bool   `toml:"turn_back"`
+		} `toml:"release"`
+		Wave []struct {
+			Name  string   `toml:"name"`
+			Nodes []string `toml:"nodes"`
+		} `toml:"wave"`
+	}
+	if err := tomlfile.Decode(path, raw, &f); err != nil {
+		return nil, err
+	}
+	r := f.Release
+	p := &fleetpb.Plan{Name: r.Name, Version: r.Version, Before: r.Before, Why: r.Why, SoakMs: r.SoakMs, LimitMs: r.LimitMs, MostCrashes: r.MostCrashes, TurnBack: r.TurnBack}
+	for _, w := range f.Wave {
+		p.Waves = append(p.Waves, &fleetpb.Wave{Name: w.Name, Nodes: w.Nodes})
+	}
+	if field, err := fleet.CheckPlan(p); err != nil {
+		if field != "wave" && field[:min(4, len(field))] != "wave" {
+			field = "release." + field
+		}
+		return nil, tomlfile.Faults(path, raw)(field, "%v", err)
+	}
+	return p, nil
+}
+
+func releaseCommand() *cobra.Command {
+	a := &asking{}
+	root, add := a.command("release", "Bring a fleet's nodes to another version, in waves")
+	add("plan FILE", "Check a plan, and tell what it would do", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		p, err := loadPlan(args[0])
+		if err != nil {
+			return err
+		}
+		m, err := a.machine(c.Context(), d)
+		if err != nil {
+			return err
+		}
+		for i, w := range p.Waves {
+			fmt.Fprintf(c.OutOrStdout(), "wave %d %s: %s\n", i+1, w.Name, names(w.Nodes))
+		}
+		return a.tell(c.OutOrStdout(), "would be", m.ExplainPlan(p))
+	})
+	var again bool
+	start := add("start FILE", "Begin the release of a plan", cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+		p, err := loadPlan(args[0])
+		if err != nil {
+			return err
+		}
+		p.By, p.Again = a.by, again
+		return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Plan{Plan: p}})
+	})
+	start.Flags().BoolVar(&again, "again", false, "although this version was turned back before")
+	for verb, about := range map[string]string{"pause": "Turn no further node for now", "resume": "Go on", "halt": "Stop: what is out comes back as it was", "back": "Turn back to the version before"} {
+		add(verb+" RELEASE", about, cobra.ExactArgs(1), func(c *cobra.Command, d *control.Door, args []string) error {
+			return a.ask(c, d, &fleetpb.Entry{What: &fleetpb.Entry_Steer{Steer: &fleetpb.Steer{Release: args[0], Verb: verb, By: a.by, Why: a.why}}})
+		})
+	}
+	add("status", "The release that goes on or the last one, and each node's version", cobra.NoArgs, func(c *cobra.Command, d *control.Door, _ []string) error {
+		m, err := a.machine(c.Context(), d)
+		if err != nil {
+			return err
+		}
+		return a.releaseStatus(c, m.State())
+	})
+	return root
+}
+
+func (a *asking) releaseStatus(c *cobra.Command, s *fleetpb.State) error {
+	if a.json() {
+		return printJSON(c.OutOrStdout(), &fleetpb.State{Release: s.Release, Units: s.Units, Bad: s.Bad})
+	}
+	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	if r := s.Release; r != nil {
+		fmt.Fprintf(w, "release %s\t%s\twave %d of %d\t%s -> %s\t%s\n", r.Plan.Name, r.State, r.Wave+1, len(r.Plan.Waves), r.Plan.Before, r.Plan.Version, r.Cause)
+		for _, n := range slices.Sorted(maps.Keys(r.Turns)) {
+			fmt.Fprintf(w, "turn\t%s\tto %s\tepoch %d\n", n, r.Turns[n].Version, r.Turns[n].Epoch)
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.Units)) {
+		u := s.Units[n]
+		fmt.Fprintf(w, "node\t%s\t%s\t%s since %s\n", n, u.Version, u.State, time.UnixMilli(u.SinceMs).Format(time.TimeOnly))
+	}
+	return nil
+}
+
+func superviseCommand(log *slog.Logger) *cobra.Command {
+	var program string
+	c := &cobra.Command{Use: "supervise FILE", Short: "Keep a node running, and bring it to the versions that releases want", Args: cobra.ExactArgs(1),
+		Long: "Keep a node running, and bring it to the versions that releases want.\n\nThe node has this process's environment. SIGTERM ends both; if this process is killed, the node runs on and the next one takes it up.",
+		RunE: func(c *cobra.Command, args []string) error {
+			f, err := supervise.Load(args[0], time.Now())
+			if err != nil {
+				return fmt.Errorf("configuration: %w", err)
+			}
+			if program != "" {
+				programs, err := supervise.OpenPrograms(f.Folder)
+				if err != nil {
+					return err
+				}
+				version, err := programs.Add(program)
+				if err != nil {
+					return errors.Join(fmt.Errorf("%s is not taken in", program), err)
+				}
+				fmt.Fprintln(c.OutOrStdout(), version)
+				return nil
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return supervise.Run(ctx, f, log)
+		}}
+	c.Flags().StringVar(&program, "add", "", "take this `PROGRAM` in, print its version, and end")
+	return c
+}
--- a/internal/control/door.go
+++ b/internal/control/door.go
@@ -106,6 +106,9 @@
 	Leader  string            `json:"leader,omitempty"`
 	Why     string            `json:"why,omitempty"`     // of a voter that has stopped
 	Applied uint64            `json:"applied,omitempty"` // entries of the log
+	Pid     int               `json:"pid"`
+	Able    bool              `json:"able"` // it can serve, drained or not
+	Open    int               `json:"open"` // requests
 }
 
 // Here tells it.
@@ -113,6 +116,8 @@
 	n.mu.Lock()
 	h := Here{Node: n.c.Name, Session: n.epoch, Version: n.held.Version, Out: n.held.Out}
 	n.mu.Unlock()
+	h.Pid, h.Able = os.Getpid(), n.loop.Able()
+	h.Open, _ = n.loop.Open()
 	if n.voter == nil {
 		return h
 	}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -33,6 +33,7 @@
 	Left(core.Held) (attempts int, ok bool)
 	Open() (requests int, ok bool)
 	Suspects() []string
+	Able() bool
 	Listed() core.List
 }
 
@@ -110,6 +111,23 @@
 	return h, nil
 }
 
+// NewClient is a side of the agreement that asks and follows, and keeps no session: a supervisor's. Close ends it.
+func NewClient(c *Config, log *slog.Logger) (*Control, error) {
+	n := &Control{c: c, log: log, follows: make(chan struct{}), moved: make(chan struct{})}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4zero})
+	if err == nil {
+		n.calls, err = link.NewCalls(udp, link.CallsOptions{Keeper: c.Keeper, Log: log})
+	}
+	return n, err
+}
+
+// CloseClient ends a client.
+func (n *Control) CloseClient() {
+	n.stop()
+	n.calls.Close()
+}
+
 // Begin has the loop follow what was on the disk, before anything is served. A node whose disk knows nothing, as at its first start, says that
 // it is not ready until it has heard, for firstWord at most: out of reach of the others it serves by its own decisions.
 func (n *Control) Begin() {
@@ -394,31 +412,40 @@
 	}
 }
 
+// Orders waits a while for orders behind a version of a log, or of another log; nil: there are none.
+func (n *Control) Orders(ctx context.Context, version uint64, log string) (*fleetpb.Orders, error) {
+	raw, err := proto.Marshal(&fleetpb.Orders{Version: version, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ordersHold+n.c.Life)
+	defer cancel()
+	n.mu.Lock()
+	moved := n.moved
+	n.mu.Unlock()
+	go func() { // a voter that leads no more may hear no news; the session's calls find that out
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if raw, err = n.call(ctx, kindOrders, raw); err != nil || len(raw) == 0 {
+		return nil, err
+	}
+	o := &fleetpb.Orders{}
+	if err := proto.Unmarshal(raw, o); err != nil || o.Log == log && o.Version <= version {
+		return nil, err
+	}
+	return o, nil
+}
+
 // follow has the loop follow what is agreed.
 func (n *Control) follow() {
 	for n.ctx.Err() == nil {
 		known := n.followed()
-		raw, err := proto.Marshal(&fleetpb.Orders{Version: known.Version, Log: known.Log})
-		if err != nil {
-			return
-		}
-		ctx, cancel := context.WithTimeout(n.ctx, ordersHold+n.c.Life)
-		n.mu.Lock()
-		moved := n.moved
-		n.mu.Unlock()
-		watching := make(chan struct{})
-		n.work.Go(func() { // a voter that leads no more may hear no news; the session's calls find that out
-			select {
-			case <-moved:
-				cancel()
-			case <-watching:
-			}
-		})
-		raw, err = n.call(ctx, kindOrders, raw)
-		close(watching)
-		cancel()
-		o := &fleetpb.Orders{}
-		if err != nil || len(raw) == 0 || proto.Unmarshal(raw, o) != nil || o.Log == known.Log && o.Version <= known.Version {
+		o, err := n.Orders(n.ctx, known.Version, known.Log)
+		if err != nil || o == nil {
 			continue
 		}
 		if known.Log != "" && known.Log != o.Log {
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -421,6 +421,8 @@
 		return own(w.End.Node)
 	case *fleetpb.Entry_Leaving:
 		return own(w.Leaving.Node)
+	case *fleetpb.Entry_Supervised:
+		return own(w.Supervised.Node)
 	case *fleetpb.Entry_Stopped:
 		for _, a := range w.Stopped.Acks {
 			if err := own(a.Node); err != nil {
@@ -428,7 +430,8 @@
 			}
 		}
 		return nil
-	case *fleetpb.Entry_Budgets, *fleetpb.Entry_Drain, *fleetpb.Entry_Return, *fleetpb.Entry_Withdraw, *fleetpb.Entry_Forget, *fleetpb.Entry_Hold, *fleetpb.Entry_Renew:
+	case *fleetpb.Entry_Budgets, *fleetpb.Entry_Drain, *fleetpb.Entry_Return, *fleetpb.Entry_Withdraw, *fleetpb.Entry_Forget, *fleetpb.Entry_Hold, *fleetpb.Entry_Renew,
+		*fleetpb.Entry_Plan, *fleetpb.Entry_Steer:
 		return nil
 	}
 	return errors.New("no word that a node may say")
@@ -642,7 +645,7 @@
 
 type due struct {
 	entries []*fleetpb.Entry
-	waits   bool     // somebody is in the queue
+	waits   bool     // somebody waits for time to pass: in the queue, or a release
 	voters  []uint64 // that are to hold the log
 }
 
@@ -656,7 +659,7 @@
 // due is what the leader has to say now. The member's goroutine calls it.
 func (v *voter) due(now time.Time, list []*fleetpb.Server) (d due) {
 	s := v.machine.State()
-	d.waits = len(s.Queue) > 0
+	d.waits = len(s.Queue) > 0 || v.machine.Releasing()
 	for name, birth := range s.Voters {
 		d.voters = append(d.voters, voterID(name, birth))
 	}
--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -241,6 +241,11 @@
 
 // Explain tells, without doing it, what would become of a drain now.
 func (m *Machine) Explain(d *fleetpb.Drain) *fleetpb.Result {
+	return m.try(func(trial *Machine) *fleetpb.Result { return trial.drain(proto.CloneOf(d), "") })
+}
+
+// try does something to a copy.
+func (m *Machine) try(do func(*Machine) *fleetpb.Result) *fleetpb.Result {
 	raw, err := m.Snapshot()
 	if err != nil {
 		return invalid("%v", err)
@@ -249,5 +254,5 @@
 	if err := trial.Restore(raw); err != nil {
 		return invalid("%v", err)
 	}
-	return trial.drain(proto.CloneOf(d), "")
+	return do(trial)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,6 +76,9 @@
 	if s.Outs == nil {
 		s.Outs = map[string]*fleetpb.Out{}
 	}
+	if s.Units == nil {
+		s.Units = map[string]*fleetpb.Unit{}
+	}
 	if s.Holds == nil {
 		s.Holds = map[string]*fleetpb.Hold{}
 	}
@@ -175,6 +178,12 @@
 		return m.observed(w.Observed)
 	case *fleetpb.Entry_Renew:
 		return m.renew(w.Renew)
+	case *fleetpb.Entry_Plan:
+		return m.plan(w.Plan)
+	case *fleetpb.Entry_Steer:
+		return m.steer(w.Steer)
+	case *fleetpb.Entry_Supervised:
+		return m.supervised(w.Supervised)
 	case *fleetpb.Entry_Clock:
 		return done(m.s.Epoch)
 	}
@@ -412,6 +421,7 @@
 			delete(m.s.Servers, id)
 		}
 	}
+	m.advance()
 	m.serveQueue()
 	for _, t := range slices.Sorted(maps.Keys(m.s.Outs)) {
 		o := m.s.Outs[t]
@@ -461,6 +471,11 @@
 	for _, t := range slices.Sorted(maps.Keys(m.s.Outs)) {
 		o.Out = append(o.Out, &fleetpb.Order{Target: t, Epoch: m.s.Outs[t].Epoch})
 	}
+	if r := m.s.Release; r != nil {
+		for _, n := range slices.Sorted(maps.Keys(r.Turns)) {
+			o.Turns = append(o.Turns, r.Turns[n])
+		}
+	}
 	return o
 }
 
--- /dev/null
+++ b/internal/fleet/release.go
@@ -0,0 +1,309 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// States of a release.
+const (
+	Running     = "running"
+	Paused      = "paused"
+	Halted      = "halted"       // nothing new; what is out comes back as it was
+	TurningBack = "turning back" // to the version before, in waves, under the same budgets
+	Done        = "done"
+	TurnedBack  = "turned back"
+	Failed      = "failed" // the way back broke as well: a hand is needed
+)
+
+// States of a node as its supervisor tells them.
+const (
+	UnitStarting = "starting"
+	UnitReady    = "ready"
+	UnitCrashed  = "crashed"
+)
+
+const (
+	mostWaves = 100
+	mostBad   = 100
+)
+
+// CheckPlan tells what is wrong with a plan: the field and the reason; nil: nothing.
+func CheckPlan(p *fleetpb.Plan) (field string, err error) {
+	if err := text(p.Name, p.Version, p.Before, p.By, p.Why); err != nil || p.Name == "" {
+		return "name", fmt.Errorf("want a name: %v", err)
+	}
+	switch {
+	case p.Version == "" || p.Version == p.Before:
+		return "version", fmt.Errorf("want a version that is not the one before, have %.50q", p.Version)
+	case p.Before == "":
+		return "before", fmt.Errorf("want the version to turn back to")
+	case p.SoakMs < 0:
+		return "soak_ms", fmt.Errorf("want 0 or more, have %d", p.SoakMs)
+	case p.LimitMs <= 0:
+		return "limit_ms", fmt.Errorf("want a limit of a wave, have %d", p.LimitMs)
+	case len(p.Waves) == 0 || len(p.Waves) > mostWaves:
+		return "wave", fmt.Errorf("want 1 to %d waves, have %d", mostWaves, len(p.Waves))
+	}
+	seen := map[string]bool{}
+	for i, w := range p.Waves {
+		if len(w.Nodes) == 0 {
+			return fmt.Sprintf("wave[%d].nodes", i), fmt.Errorf("want some")
+		}
+		for _, n := range w.Nodes {
+			if seen[n] || n == "" {
+				return fmt.Sprintf("wave[%d].nodes", i), fmt.Errorf("%.50q stands twice, or is empty", n)
+			}
+			seen[n] = true
+		}
+	}
+	return "", nil
+}
+
+// over tells whether a release goes on no more.
+func over(state string) bool { return state == Done || state == TurnedBack || state == Failed }
+
+// ExplainPlan tells, without doing it, what would become of a plan now.
+func (m *Machine) ExplainPlan(p *fleetpb.Plan) *fleetpb.Result {
+	return m.try(func(trial *Machine) *fleetpb.Result { return trial.plan(proto.CloneOf(p)) })
+}
+
+// Releasing tells whether a release goes on, for which time has to pass.
+func (m *Machine) Releasing() bool {
+	r := m.s.Release
+	return r != nil && (r.State == Running || r.State == TurningBack || len(r.Turns) > 0)
+}
+
+// plan begins a release.
+func (m *Machine) plan(p *fleetpb.Plan) *fleetpb.Result {
+	if field, err := CheckPlan(p); err != nil {
+		return invalid("plan: %s: %v", field, err)
+	}
+	if r := m.s.Release; r != nil && !over(r.State) {
+		return refused("release %s is %s: one at a time", r.Plan.Name, r.State)
+	}
+	if slices.Contains(m.s.Bad, p.Version) && !p.Again {
+		return refused("version %s was turned back before; a hand may say so (again)", p.Version)
+	}
+	for _, w := range p.Waves {
+		for _, n := range w.Nodes {
+			if u := m.s.Units[n]; u == nil {
+				return refused("no supervisor has told of %s", n)
+			}
+		}
+	}
+	m.s.Release = &fleetpb.Release{Plan: p, State: Running, WaveMs: m.s.NowMs, Cause: p.Why, Turns: map[string]*fleetpb.Turn{}}
+	m.log(p.By, "release %s of %s begins, %d waves: %s", p.Name, p.Version, len(p.Waves), p.Why)
+	return done(m.next())
+}
+
+func refused(format string, args ...any) *fleetpb.Result {
+	return &fleetpb.Result{Code: fleetpb.Result_REFUSED, Reason: fmt.Sprintf(format, args...)}
+}
+
+// steer is a hand on the release that goes on.
+func (m *Machine) steer(s *fleetpb.Steer) *fleetpb.Result {
+	r := m.s.Release
+	if r == nil || r.Plan.Name != s.Release {
+		return invalid("no release %.50q goes on", s.Release)
+	}
+	to := map[string]map[string]string{
+		"pause":  {Running: Paused},
+		"resume": {Paused: Running, Halted: Running},
+		"halt":   {Running: Halted, Paused: Halted},
+		"back":   {Running: TurningBack, Paused: TurningBack, Halted: TurningBack, Done: TurningBack, Failed: TurningBack},
+	}[s.Verb][r.State]
+	if to == "" {
+		return refused("release %s is %s: it can't %.20s", r.Plan.Name, r.State, s.Verb)
+	}
+	if to == Running {
+		r.WaveMs, r.Crashes = m.s.NowMs, 0
+	}
+	m.become(to, s.By, s.Why)
+	return done(m.next())
+}
+
+// become changes the state of the release, with its cause.
+func (m *Machine) become(state, by, cause string) {
+	r := m.s.Release
+	if state == TurningBack {
+		r.Crashes, r.WaveMs, r.SoakMs = 0, m.s.NowMs, 0
+		if !slices.Contains(m.s.Bad, r.Plan.Version) {
+			m.s.Bad = last(append(m.s.Bad, r.Plan.Version), mostBad)
+		}
+	}
+	m.log(by, "release %s, wave %d: %s, before %s: %s", r.Plan.Name, r.Wave+1, state, r.State, cause)
+	r.State, r.Cause = state, cause
+}
+
+// supervised takes a supervisor's word.
+func (m *Machine) supervised(s *fleetpb.Supervised) *fleetpb.Result {
+	if err := text(s.Node, s.Version, s.State, s.Why); err != nil || s.Node == "" {
+		return invalid("supervised: %v", err)
+	}
+	was := m.s.Units[s.Node]
+	if was == nil && len(m.s.Units) >= mostNodes {
+		return invalid("supervised: %d nodes are known already", len(m.s.Units))
+	}
+	u := &fleetpb.Unit{Version: s.Version, State: s.State, SinceMs: m.s.NowMs}
+	if was != nil && was.Version == u.Version && was.State == u.State {
+		u.SinceMs = was.SinceMs
+	}
+	m.s.Units[s.Node] = u
+	if s.State == UnitCrashed {
+		m.log(s.Node, "%s of version %s crashed: %s", s.Node, s.Version, s.Why)
+		if r := m.s.Release; r != nil && s.Version == m.aim(r) {
+			r.Crashes++
+		}
+	}
+	return done(m.s.Epoch)
+}
+
+// aim is the version that a release brings nodes to now.
+func (m *Machine) aim(r *fleetpb.Release) string {
+	if r.State == TurningBack || r.State == Halted {
+		return r.Plan.Before
+	}
+	return r.Plan.Version
+}
+
+func (m *Machine) releaseName(r *fleetpb.Release) string { return "release " + r.Plan.Name }
+
+// advance does what the release wants next. It is called after each entry.
+func (m *Machine) advance() {
+	r := m.s.Release
+	if r == nil || over(r.State) && len(r.Turns) == 0 {
+		return
+	}
+	m.finishTurns(r)
+	switch r.State {
+	case Running:
+		m.forward(r)
+	case Halted:
+		m.giveUpTurns(r)
+		if r.Plan.TurnBack && r.State == Halted {
+			m.become(TurningBack, "agreement", "the plan turns back by itself: "+r.Cause)
+			m.backward(r)
+		}
+	case TurningBack:
+		m.backward(r)
+	}
+}
+
+// finishTurns takes back in what is ready at the version that it was to have.
+func (m *Machine) finishTurns(r *fleetpb.Release) {
+	for _, n := range slices.Sorted(maps.Keys(r.Turns)) {
+		t, u := r.Turns[n], m.s.Units[n]
+		if u == nil || u.State != UnitReady || u.Version != t.Version {
+			continue
+		}
+		delete(r.Turns, n)
+		if o := m.s.Outs[NodeTarget(n)]; o != nil && o.By == m.releaseName(r) {
+			delete(m.s.Outs, NodeTarget(n))
+		}
+		m.s.Orders++
+		m.log(m.releaseName(r), "%s is ready at version %s", n, t.Version)
+	}
+}
+
+// turn takes a node out, if it may go, and has it brought to a version.
+func (m *Machine) turn(r *fleetpb.Release, n, version string) {
+	if t := r.Turns[n]; t != nil {
+		if t.Version != version { // what is out turns round at once
+			t.Version, t.Epoch = version, m.next()
+			m.s.Orders++
+		}
+		return
+	}
+	target := NodeTarget(n)
+	if m.s.Nodes[n] == nil || m.s.Outs[target] == nil && m.mayGo(target, m.ahead(len(m.s.Queue))) != "" {
+		return // later
+	}
+	if m.s.Outs[target] == nil {
+		m.grant(&fleetpb.Drain{Target: target, By: m.releaseName(r), Why: "to version " + version})
+	}
+	r.Turns[n] = &fleetpb.Turn{Node: n, Version: version, Epoch: m.next()}
+	m.s.Orders++
+	m.log(m.releaseName(r), "%s goes to version %s, epoch %d", n, version, r.Turns[n].Epoch)
+}
+
+// forward goes on with the present wave, or halts.
+func (m *Machine) forward(r *fleetpb.Release) {
+	p := r.Plan
+	halt := func(format string, args ...any) {
+		m.become(Halted, "agreement", fmt.Sprintf(format, args...))
+		m.advance()
+	}
+	if r.Crashes > p.MostCrashes {
+		halt("%d crashes of version %s, %d at most", r.Crashes, p.Version, p.MostCrashes)
+		return
+	}
+	for _, g := range m.Groups() {
+		if g.Budget.On == "nodes" && g.Over() != "" {
+			halt("budget %s, %s: %s", g.Budget.Name, g.Name, g.Over())
+			return
+		}
+	}
+	ready := true
+	for _, n := range p.Waves[r.Wave].Nodes {
+		if u := m.s.Units[n]; u != nil && u.State == UnitReady && u.Version == p.Version {
+			continue
+		}
+		ready = false
+		m.turn(r, n, p.Version)
+	}
+	switch {
+	case !ready && m.s.NowMs-r.WaveMs > p.LimitMs:
+		halt("wave %d is not ready within %d ms", r.Wave+1, p.LimitMs)
+	case !ready:
+		r.SoakMs = 0
+	case r.SoakMs == 0:
+		r.SoakMs = m.s.NowMs
+	case m.s.NowMs-r.SoakMs >= p.SoakMs && int(r.Wave) == len(p.Waves)-1:
+		m.become(Done, "agreement", "all waves are ready")
+	case m.s.NowMs-r.SoakMs >= p.SoakMs:
+		m.log(m.releaseName(r), "wave %d is done", r.Wave+1)
+		r.Wave, r.WaveMs, r.SoakMs = r.Wave+1, m.s.NowMs, 0
+		m.forward(r)
+	}
+}
+
+// giveUpTurns brings what is out back as it was.
+func (m *Machine) giveUpTurns(r *fleetpb.Release) {
+	for _, n := range slices.Sorted(maps.Keys(r.Turns)) {
+		m.turn(r, n, r.Plan.Before)
+	}
+}
+
+// backward brings all that has the version, or is on its way to it, to the one before. A node that can't serve costs no budget.
+func (m *Machine) backward(r *fleetpb.Release) {
+	p := r.Plan
+	if r.Crashes > p.MostCrashes {
+		m.become(Failed, "agreement", fmt.Sprintf("%d crashes of version %s on the way back, %d at most: a hand is needed", r.Crashes, p.Before, p.MostCrashes))
+		return
+	}
+	m.giveUpTurns(r)
+	all := true
+	for _, w := range slices.Backward(p.Waves) {
+		for _, n := range w.Nodes {
+			if u := m.s.Units[n]; u == nil || u.Version == p.Before && u.State == UnitReady {
+				continue
+			} else if u.Version == p.Before && r.Turns[n] == nil {
+				continue // not the release's doing
+			}
+			all = false
+			m.turn(r, n, p.Before)
+		}
+	}
+	switch {
+	case all && len(r.Turns) == 0:
+		m.become(TurnedBack, "agreement", r.Cause)
+	case m.s.NowMs-r.WaveMs > p.LimitMs*int64(len(p.Waves)):
+		m.become(Failed, "agreement", fmt.Sprintf("the way back took over %d ms: a hand is needed", p.LimitMs*int64(len(p.Waves))))
+	}
+}
--- /dev/null
+++ b/internal/fleet/release_test.go
@@ -0,0 +1,282 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// yard is a fleet of supervised nodes in virtual time: each takes its time to be drained, replaced and ready.
+type yard struct {
+	t       *testing.T
+	m       *Machine
+	r       *rand.Rand
+	now     int64
+	nodes   []string
+	version map[string]string
+	turned  map[string]uint64 // epoch of the turn that a node works on
+	at      map[string]int64  // when it has the next thing to say
+	down    map[string]bool   // it serves nobody
+	bad     func(node, version string) string
+	most    int // down at once, by the budget
+	worst   int // that was
+	touched map[string]bool
+}
+
+const yardOld, yardNew = "v-old", "v-new"
+
+func newYard(t *testing.T, seed uint64, n, most int, bad func(node, version string) string) *yard {
+	y := &yard{t: t, m: New(), r: rand.New(rand.NewPCG(seed, 7)), now: 1000, version: map[string]string{}, turned: map[string]uint64{}, at: map[string]int64{}, down: map[string]bool{},
+		bad: bad, most: most, touched: map[string]bool{}}
+	y.say(&fleetpb.Entry{What: &fleetpb.Entry_Budgets{Budgets: &fleetpb.SetBudgets{Budgets: []*fleetpb.Budget{{Name: "nodes", On: "nodes", By: "fleet", Bounded: true, MostOut: uint32(most)}}}}})
+	for i := range n {
+		name := fmt.Sprintf("n%02d", i)
+		y.nodes, y.version[name] = append(y.nodes, name), yardOld
+		y.open(name)
+		y.told(name, UnitReady)
+	}
+	return y
+}
+
+func (y *yard) say(e *fleetpb.Entry) *fleetpb.Result {
+	e.Level, e.AtMs = 1, y.now
+	raw, err := proto.Marshal(e)
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	return y.m.Apply(raw)
+}
+
+func (y *yard) open(n string) {
+	y.say(&fleetpb.Entry{What: &fleetpb.Entry_Open{Open: &fleetpb.OpenSession{Node: n, Process: fmt.Sprint(y.now), Level: 1}}})
+}
+
+func (y *yard) told(n, state string) {
+	y.say(&fleetpb.Entry{What: &fleetpb.Entry_Supervised{Supervised: &fleetpb.Supervised{Node: n, Version: y.version[n], State: state}}})
+}
+
+func (y *yard) plan(edit func(p *fleetpb.Plan)) *fleetpb.Result {
+	p := &fleetpb.Plan{Name: "r1", Version: yardNew, Before: yardOld, SoakMs: 3000, LimitMs: 30_000, MostCrashes: 1, TurnBack: true, By: "eva"}
+	for from, size := 0, 1; from < len(y.nodes); from, size = from+size, 2*size {
+		p.Waves = append(p.Waves, &fleetpb.Wave{Nodes: y.nodes[from:min(from+size, len(y.nodes))]})
+	}
+	if edit != nil {
+		edit(p)
+	}
+	return y.say(&fleetpb.Entry{What: &fleetpb.Entry_Plan{Plan: p}})
+}
+
+func (y *yard) steer(verb string) *fleetpb.Result {
+	return y.say(&fleetpb.Entry{What: &fleetpb.Entry_Steer{Steer: &fleetpb.Steer{Release: "r1", Verb: verb, By: "ole"}}})
+}
+
+// step lets 100 ms pass.
+func (y *yard) step() {
+	y.now += 100
+	y.say(&fleetpb.Entry{What: &fleetpb.Entry_Clock{Clock: &fleetpb.Clock{}}})
+	for _, t := range y.m.Orders().Turns {
+		if n := t.Node; y.turned[n] != t.Epoch { // a new turn: it goes down, and comes up as the version wants
+			y.turned[n], y.version[n], y.down[n] = t.Epoch, t.Version, true
+			y.touched[n] = y.touched[n] || t.Version == yardNew
+			e := y.m.State().Nodes[n].Epoch
+			y.say(&fleetpb.Entry{What: &fleetpb.Entry_End{End: &fleetpb.EndSession{Node: n, Epoch: e}}})
+			y.told(n, UnitStarting)
+			y.at[n] = y.now + 200 + y.r.Int64N(2000)
+		}
+	}
+	for _, n := range y.nodes {
+		if !y.down[n] || y.now < y.at[n] {
+			continue
+		}
+		switch what := y.bad(n, y.version[n]); what {
+		case "":
+			y.open(n)
+			y.told(n, UnitReady)
+			y.down[n] = false
+		case "crashes":
+			y.told(n, UnitCrashed)
+			y.at[n] = y.now + 1000
+		case "crashes later": // it is ready for a moment
+			y.open(n)
+			y.told(n, UnitReady)
+			y.told(n, UnitCrashed)
+			y.at[n] = y.now + 1000
+		}
+	}
+	out := 0
+	for _, n := range y.nodes {
+		if y.down[n] {
+			out++
+		}
+	}
+	y.worst = max(y.worst, out)
+}
+
+func (y *yard) until(state string) {
+	y.t.Helper()
+	for range 20_000 {
+		if y.m.State().Release.State == state {
+			return
+		}
+		y.step()
+	}
+	y.t.Fatalf("not %s: %v\n%s", state, y.m.State().Release, y.history())
+}
+
+func (y *yard) history() string {
+	var b strings.Builder
+	for _, e := range y.m.State().History {
+		fmt.Fprintf(&b, "%6d %s: %s\n", e.AtMs, e.By, e.What)
+	}
+	return b.String()
+}
+
+func (y *yard) has(version string) (n int) {
+	for _, name := range y.nodes {
+		if y.version[name] == version && !y.down[name] {
+			n++
+		}
+	}
+	return n
+}
+
+// A good release ends done, within its budget; a bad one halts in its first wave and turns back whole; a version that was turned back is
+// not tried again without a hand. Twenty plays of each.
+func TestReleases(t *testing.T) {
+	for name, c := range map[string]struct {
+		bad   func(node, version string) string
+		state string
+		most  int // nodes that met the version
+	}{
+		"good": {func(string, string) string { return "" }, Done, 24},
+		"crashes at start": {func(_, v string) string {
+			return map[string]string{yardNew: "crashes"}[v]
+		}, TurnedBack, 1},
+		"never ready": {func(_, v string) string {
+			return map[string]string{yardNew: "never"}[v]
+		}, TurnedBack, 1},
+		"crashes once it is ready": {func(_, v string) string {
+			return map[string]string{yardNew: "crashes later"}[v]
+		}, TurnedBack, 1},
+		"crashes at one node of the third wave": {func(n, v string) string {
+			return map[string]string{yardNew + " n04": "crashes"}[v+" "+n]
+		}, TurnedBack, 7},
+		"nothing starts any more": {func(n, v string) string {
+			return map[string]string{yardNew + " n00": "crashes", yardOld + " n00": "crashes"}[v+" "+n]
+		}, Failed, 1},
+	} {
+		for seed := range uint64(20) {
+			y := newYard(t, seed, 24, 2, c.bad)
+			if r := y.plan(nil); r.Code != fleetpb.Result_DONE {
+				t.Fatal(r)
+			}
+			y.until(c.state)
+			if len(y.touched) > c.most || y.worst > y.most {
+				t.Errorf("%s, seed %d: %d nodes met the version, %d at most; %d down at once, %d at most\n%s", name, seed, len(y.touched), c.most, y.worst, y.most, y.history())
+			}
+			want := map[string]int{Done: 0, TurnedBack: 24, Failed: 23}[c.state]
+			if n := y.has(yardOld); n != want {
+				t.Errorf("%s, seed %d: %d nodes have the version before, want %d\n%s", name, seed, n, want, y.history())
+			}
+			if c.state != Failed && (len(y.m.State().Outs) > 0 || len(y.m.Orders().Turns) > 0) {
+				t.Errorf("%s: what is over leaves %v out", name, y.m.State().Outs)
+			}
+			for range 100 { // nothing flaps
+				y.step()
+			}
+			if y.m.State().Release.State != c.state {
+				t.Errorf("%s: %s after it was %s", name, y.m.State().Release.State, c.state)
+			}
+			if r := y.plan(func(p *fleetpb.Plan) { p.Name = "r2" }); c.state == TurnedBack && (r.Code != fleetpb.Result_REFUSED || !strings.Contains(r.Reason, "turned back before")) {
+				t.Errorf("%s: tried again: %v", name, r)
+			}
+		}
+	}
+}
+
+// A hand pauses, resumes, halts and turns back; an unplanned out over the budget halts by itself; the soak is kept.
+func TestReleaseByHand(t *testing.T) {
+	fine := func(string, string) string { return "" }
+	y := newYard(t, 1, 8, 1, fine)
+	y.plan(func(p *fleetpb.Plan) { p.TurnBack = false })
+	if r := y.plan(func(p *fleetpb.Plan) { p.Name = "r2" }); r.Code != fleetpb.Result_REFUSED || !strings.Contains(r.Reason, "one at a time") {
+		t.Errorf("two at once: %v", r)
+	}
+	for y.m.State().Release.Wave == 0 {
+		y.step()
+	}
+	if took := y.now - 1000; took < 3000 {
+		t.Errorf("the first wave soaked for %d ms", took)
+	}
+	y.steer("pause")
+	for range 30 { // what was out finishes
+		y.step()
+	}
+	n := len(y.touched)
+	for range 200 {
+		y.step()
+	}
+	if len(y.touched) != n || y.m.State().Release.State != Paused || len(y.m.State().Outs) != 0 {
+		t.Errorf("a release that pauses goes on: %d nodes, then %d", n, len(y.touched))
+	}
+	if r := y.steer("resume"); r.Code != fleetpb.Result_DONE {
+		t.Error(r)
+	}
+	// Two nodes lapse: one more than the budget allows.
+	for _, name := range y.nodes[6:] {
+		y.say(&fleetpb.Entry{What: &fleetpb.Entry_End{End: &fleetpb.EndSession{Node: name, Epoch: y.m.State().Nodes[name].Epoch, Lapsed: true}}})
+	}
+	y.until(Halted)
+	if c := y.m.State().Release.Cause; !strings.Contains(c, "budget nodes, fleet") {
+		t.Errorf("halted: %s", c)
+	}
+	for range 100 {
+		y.step()
+	}
+	if len(y.m.State().Outs) != 0 || y.has(yardNew)+y.has(yardOld) != 8 {
+		t.Errorf("what was out did not come back: %v", y.m.State().Outs)
+	}
+	for _, name := range y.nodes[6:] {
+		y.open(name)
+	}
+	if r := y.steer("back"); r.Code != fleetpb.Result_DONE {
+		t.Error(r)
+	}
+	y.until(TurnedBack)
+	if y.has(yardOld) != 8 || y.worst > 1 {
+		t.Errorf("%d nodes have the version before, %d were down at once", y.has(yardOld), y.worst)
+	}
+	for _, verb := range []string{"pause", "resume", "halt", "back", "dance"} {
+		if r := y.steer(verb); r.Code != fleetpb.Result_REFUSED {
+			t.Errorf("%s of a release that is over: %v", verb, r)
+		}
+	}
+}
+
+func TestCheckPlan(t *testing.T) {
+	for field, edit := range map[string]func(p *fleetpb.Plan){
+		"":              func(*fleetpb.Plan) {},
+		"name":          func(p *fleetpb.Plan) { p.Name = "" },
+		"version":       func(p *fleetpb.Plan) { p.Version = p.Before },
+		"before":        func(p *fleetpb.Plan) { p.Before = "" },
+		"limit_ms":      func(p *fleetpb.Plan) { p.LimitMs = 0 },
+		"soak_ms":       func(p *fleetpb.Plan) { p.SoakMs = -1 },
+		"wave":          func(p *fleetpb.Plan) { p.Waves = nil },
+		"wave[1].nodes": func(p *fleetpb.Plan) { p.Waves = slices.Insert(p.Waves, 1, &fleetpb.Wave{}) },
+		"wave[2].nodes": func(p *fleetpb.Plan) { p.Waves[2].Nodes = []string{"n00"} },
+	} {
+		y := newYard(t, 1, 8, 1, func(string, string) string { return "" })
+		var plan *fleetpb.Plan
+		r := y.plan(func(p *fleetpb.Plan) { edit(p); plan = proto.CloneOf(p) })
+		got, err := CheckPlan(plan)
+		if got != field || (err == nil) != (field == "") || (r.Code == fleetpb.Result_DONE) != (field == "") {
+			t.Errorf("%s: %s, %v; %v", field, got, err, r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/supervise/supervise.go
@@ -0,0 +1,372 @@
+package supervise
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingvalve/internal/control"
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+const (
+	lookEvery  = 50 * time.Millisecond // at the node
+	doorWait   = time.Second
+	againFirst = 200 * time.Millisecond // before a node that crashed is started again; doubles
+	againLast  = 5 * time.Second
+	tellAgain  = 3 * time.Second // what the agreement may have lost
+	tellWait   = 2 * time.Second
+)
+
+// Supervisor keeps one node.
+type Supervisor struct {
+	c        *Config
+	programs *Programs
+	client   *control.Control
+	door     *control.Door
+	log      *slog.Logger
+
+	mu     sync.Mutex
+	chosen Chosen
+	turn   *fleetpb.Turn // that is to be made; nil: none
+	made   uint64        // epoch of the last turn that was begun
+	word   *fleetpb.Supervised
+	said   bool          // the agreement has that word
+	reach  time.Time     // when the agreement answered last
+	news   chan struct{} // holds one: there is a turn, or a word
+}
+
+// Run supervises until ctx ends; then the node is told to end too. If the supervisor itself is killed the node runs on, and the next supervisor takes it up.
+func Run(ctx context.Context, c *Config, log *slog.Logger) error {
+	programs, err := OpenPrograms(c.Folder)
+	if err != nil {
+		return fmt.Errorf("%s: supervise.folder: %w", c.Path, err)
+	}
+	s := &Supervisor{c: c, programs: programs, door: control.Knock(c.Fleet.Socket), log: log, news: make(chan struct{}, 1), reach: time.Now()}
+	if s.chosen, err = programs.Chosen(); err != nil {
+		return fmt.Errorf("%s: %w", c.Folder, err)
+	}
+	if s.chosen.Version == "" { // the first start: this very program
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		if s.chosen.Version, err = programs.Add(self); err != nil {
+			return err
+		}
+		s.chosen.Well = s.chosen.Version
+		if err := programs.Choose(s.chosen); err != nil {
+			return err
+		}
+	}
+	if s.client, err = control.NewClient(c.Fleet, log); err != nil {
+		return err
+	}
+	defer s.client.CloseClient()
+	var work sync.WaitGroup
+	defer work.Wait()
+	work.Go(func() { s.follow(ctx) })
+	work.Go(func() { s.speak(ctx) })
+	s.keep(ctx)
+	return nil
+}
+
+// follow hears of turns.
+func (s *Supervisor) follow(ctx context.Context) {
+	version, log := uint64(0), ""
+	for ctx.Err() == nil {
+		o, err := s.client.Orders(ctx, version, log)
+		if err != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.reach = time.Now()
+		s.mu.Unlock()
+		if o == nil {
+			continue
+		}
+		version, log = o.Version, o.Log
+		for _, t := range o.Turns {
+			if t.Node != s.c.Fleet.Name {
+				continue
+			}
+			s.mu.Lock()
+			if t.Epoch > s.made {
+				s.turn = t
+				s.wake()
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+// wake is called under the lock.
+func (s *Supervisor) wake() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+// tell notes the newest word of the node.
+func (s *Supervisor) tell(version, state, why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.word, s.said = &fleetpb.Supervised{Node: s.c.Fleet.Name, Version: version, State: state, Turn: s.made, Why: why}, false
+	s.log.Info("supervise: node", "version", version, "state", state, "turn", s.made, "why", why)
+}
+
+// speak tells the agreement the newest word, until it is heard, and now and then again. A crash is told once.
+func (s *Supervisor) speak(ctx context.Context) {
+	var at time.Time
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		word, said := s.word, s.said
+		s.mu.Unlock()
+		if word != nil && (!said || word.State != fleet.UnitCrashed && time.Since(at) > tellAgain) {
+			once, cancel := context.WithTimeout(ctx, tellWait)
+			r, err := s.client.Ask(once, &fleetpb.Entry{What: &fleetpb.Entry_Supervised{Supervised: word}})
+			cancel()
+			s.mu.Lock()
+			if err == nil {
+				at, s.reach = time.Now(), time.Now()
+				s.said = s.said || s.word == word
+				if r.Code != fleetpb.Result_DONE {
+					s.log.Warn("supervise: a word was not taken", "word", word, "result", r)
+				}
+			}
+			s.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(lookEvery):
+		}
+	}
+}
+
+// next gives the turn that is to be made, once.
+func (s *Supervisor) next() *fleetpb.Turn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.turn
+	if s.turn = nil; t != nil {
+		s.made = t.Epoch
+	}
+	return t
+}
+
+// unreached tells whether the agreement has not answered for longer than a session lives.
+func (s *Supervisor) unreached() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.reach) > 2*s.c.Fleet.Life
+}
+
+// process is the node's: started here, or by a supervisor before this one.
+type process struct {
+	*os.Process
+	ended chan struct{}
+	err   error // once it has ended
+}
+
+// keep has the node run, in the version that is wanted, until ctx ends.
+func (s *Supervisor) keep(ctx context.Context) {
+	p := s.adopt(ctx)
+	wait := againFirst
+	for ctx.Err() == nil {
+		if p == nil {
+			var err error
+			if p, err = s.start(); err != nil {
+				s.tell(s.chosen.Version, fleet.UnitCrashed, err.Error())
+				if s.back(ctx, wait) {
+					wait = min(2*wait, againLast)
+				}
+				continue
+			}
+			s.tell(s.chosen.Version, fleet.UnitStarting, "")
+		}
+		began, ready := time.Now(), false
+		var turn *fleetpb.Turn
+		failed := ""
+		for turn == nil && failed == "" && ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-p.ended:
+				failed = fmt.Sprintf("it ended after %v: %v", time.Since(began).Round(time.Millisecond), p.err)
+				continue
+			case <-s.news:
+			case <-time.After(lookEvery):
+			}
+			turn = s.next()
+			if !ready && s.isReady(ctx, p) {
+				ready, wait = true, againFirst
+				s.chosen.Well = s.chosen.Version
+				if err := s.programs.Choose(s.chosen); err != nil {
+					s.log.Error("supervise: what runs can't be noted", "err", err)
+				}
+				s.tell(s.chosen.Version, fleet.UnitReady, "")
+			}
+			if !ready && time.Since(began) > s.c.Ready {
+				failed = fmt.Sprintf("it is not ready after %v", s.c.Ready)
+			}
+		}
+		switch {
+		case ctx.Err() != nil:
+		case turn != nil:
+			if next := s.change(ctx, p, turn, ready); next {
+				p, wait = nil, againFirst
+			}
+			continue
+		default:
+			s.tell(s.chosen.Version, fleet.UnitCrashed, failed)
+			s.end(p)
+			p = nil
+			if s.back(ctx, wait) {
+				wait = min(2*wait, againLast)
+			}
+		}
+	}
+	if p != nil {
+		s.end(p)
+	}
+}
+
+// back waits before the next start, or for a turn. Out of reach of the agreement, a version that was never ready gives way to the last one that was.
+func (s *Supervisor) back(ctx context.Context, wait time.Duration) (waited bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-s.news:
+	}
+	if t := s.next(); t != nil {
+		s.choose(t.Version)
+		return false
+	}
+	if s.unreached() && s.chosen.Version != s.chosen.Well {
+		s.log.Warn("supervise: the agreement is out of reach; back to the version that was well", "version", s.chosen.Well)
+		s.choose(s.chosen.Well)
+	}
+	return true
+}
+
+// choose has a version run from the next start on.
+func (s *Supervisor) choose(version string) {
+	s.chosen.Version = version
+	if err := s.programs.Choose(s.chosen); err != nil {
+		s.log.Error("supervise: what runs can't be noted", "err", err)
+	}
+}
+
+// change makes a turn: the node is emptied and ends. It tells whether another one is to be started.
+func (s *Supervisor) change(ctx context.Context, p *process, t *fleetpb.Turn, ready bool) bool {
+	if t.Version == s.chosen.Version {
+		if ready {
+			s.tell(t.Version, fleet.UnitReady, "")
+		}
+		return false
+	}
+	if _, err := s.programs.Path(t.Version); err != nil {
+		s.tell(t.Version, fleet.UnitCrashed, err.Error())
+		return false
+	}
+	s.log.Info("supervise: turn", "from", s.chosen.Version, "to", t.Version, "epoch", t.Epoch)
+	for end := time.Now().Add(s.c.Drain); ready && time.Now().Before(end) && ctx.Err() == nil; time.Sleep(lookEvery) {
+		if h, err := s.here(ctx); err != nil || h.Open == 0 && h.Out[fleet.NodeTarget(s.c.Fleet.Name)] > 0 {
+			break
+		}
+	}
+	s.end(p)
+	s.choose(t.Version)
+	return true
+}
+
+func (s *Supervisor) here(ctx context.Context) (control.Here, error) {
+	ctx, cancel := context.WithTimeout(ctx, doorWait)
+	defer cancel()
+	return s.door.Here(ctx)
+}
+
+// isReady: the node can serve, and has its session.
+func (s *Supervisor) isReady(ctx context.Context, p *process) bool {
+	h, err := s.here(ctx)
+	return err == nil && h.Pid == p.Pid && h.Able && (h.Session > 0 || s.unreached())
+}
+
+// start starts the node's process. It does not end with this one.
+func (s *Supervisor) start() (*process, error) {
+	path, err := s.programs.Path(s.chosen.Version)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(path, s.c.Args...)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &process{Process: cmd.Process, ended: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// adopt takes up a node that a supervisor before this one has left running; nil: there is none.
+func (s *Supervisor) adopt(ctx context.Context) *process {
+	h, err := s.here(ctx)
+	if err != nil || h.Node != s.c.Fleet.Name {
+		return nil
+	}
+	found, err := os.FindProcess(h.Pid) // a handle of that process, whatever becomes of its number
+	if err != nil {
+		return nil
+	}
+	p := &process{Process: found, ended: make(chan struct{}), err: errors.New("it was not started by this supervisor: how it ended is not known")}
+	go func() {
+		for found.Signal(syscall.Signal(0)) == nil {
+			time.Sleep(lookEvery)
+		}
+		close(p.ended)
+	}()
+	exe, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", h.Pid))
+	if err == nil && filepath.Base(exe) == s.chosen.Version {
+		s.log.Info("supervise: takes up the node that runs", "pid", h.Pid)
+		return p
+	}
+	s.log.Warn("supervise: the node that runs is not of the version chosen; it is ended", "pid", h.Pid, "program", exe)
+	s.end(p)
+	return nil
+}
+
+// end ends the node's process: politely, then not.
+func (s *Supervisor) end(p *process) {
+	select {
+	case <-p.ended:
+		return
+	default:
+	}
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		return
+	case <-time.After(s.c.End):
+	}
+	p.Kill()
+	select {
+	case <-p.ended:
+	case <-time.After(s.c.End):
+		s.log.Error("supervise: the node does not end", "pid", p.Pid)
+	}
+}
