Nodes are replaced by handing over sockets, and a wave's health is judged by comparison

Measured: error rates over 1,000 plays in eight cases; on processes: three bad programs meet the canary only, a good one ends done while a supervisor is killed in a turn, no request lost, at no moment a node down.

--- a/cmd/rig/agreement.go
+++ b/cmd/rig/agreement.go
@@ -172,6 +172,8 @@
 func (idleLoop) Left(core.Held) (int, bool) { return 0, true }
 func (idleLoop) Open() (int, bool)          { return 0, true }
 func (idleLoop) Suspects() []string         { return nil }
+func (idleLoop) Away(bool)                  {}
+func (idleLoop) Ends() []*fleetpb.Ends      { return nil }
 func (idleLoop) Able() bool                 { return true }
 func (idleLoop) Listed() core.List          { return core.List{} }
 
@@ -289,7 +291,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return control.Open(c, idleLoop{}, func(bool) {}, slog.New(slog.DiscardHandler))
+	return control.Open(c, idleLoop{}, idleLoop{}, slog.New(slog.DiscardHandler))
 }
 
 func (p *pack) sessionsLive(ctx context.Context, want int) error {
--- a/cmd/rig/pack.go
+++ b/cmd/rig/pack.go
@@ -167,7 +167,7 @@
 	}
 	b.WriteString(p.budgets)
 	if p.watched {
-		text := fmt.Sprintf("[supervise]\nfleet = %q\nfolder = %q\ndrain_ms = 1000\nend_ms = 6000\nready_ms = 4000\n", m.file, base+"-programs")
+		text := fmt.Sprintf("[supervise]\nfleet = %q\nfolder = %q\nend_ms = 6000\nready_ms = 4000\n", m.file, base+"-programs")
 		if err := os.WriteFile(m.supervisor(), []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/cmd/rig/release_test.go
+++ b/cmd/rig/release_test.go
@@ -51,7 +51,7 @@
 }
 
 // Releases on real processes under load, each node under a supervisor: one whose program ends at once, and one that is never ready, halt at
-// the canary and turn back whole, and are not tried again; a good one goes on while a supervisor is killed, and ends done.
+// the canary, as does one that is ready and serves nobody, and turn back whole, and are not tried again; a good one goes on while a supervisor is killed, and ends done.
 func TestReleasesOnProcesses(t *testing.T) {
 	w, err := newWorkshop(t.Context(), "")
 	if err != nil {
@@ -95,9 +95,11 @@
 	}
 	before := hold("before", program)
 	good, crash, never := hold("good", append(program, "next"...)), hold("crash", []byte("#!/bin/sh\nexit 3\n")), hold("never", []byte("#!/bin/sh\nexec sleep 60\n"))
+	// It starts, is ready, and reaches no server: its time for a connection is a nanosecond.
+	deaf := hold("deaf", []byte("#!/bin/sh\nsed 's/\"connect_timeout_ns\": [0-9]*/\"connect_timeout_ns\": 1/' $GW_CONFIG > $GW_CONFIG.deaf\nexport GW_CONFIG=$GW_CONFIG.deaf\nexec "+w.binary+" \"$@\"\n"))
 	plan := func(name, version string, limit time.Duration) string {
 		path := filepath.Join(w.dir, name+".toml")
-		text := fmt.Sprintf("[release]\nname = %q\nversion = %q\nbefore = %q\nsoak_ms = 300\nlimit_ms = %d\nmost_crashes = 1\nturn_back = true\n", name, version, before, limit.Milliseconds())
+		text := fmt.Sprintf("[release]\nname = %q\nversion = %q\nbefore = %q\nsoak_ms = 300\nlimit_ms = %d\nmost_crashes = 1\nhealth = true\nturn_back = true\n", name, version, before, limit.Milliseconds())
 		for _, wave := range []string{`["n5"]`, `["n4"]`, `["n3", "n2", "n1"]`} {
 			text += "\n[[wave]]\nnodes = " + wave + "\n"
 		}
@@ -151,11 +153,19 @@
 	defer stop()
 	seen := &watch{}
 	running.Go(func() { seen.run(loading, p) })
+	// Two classes, so that a wave's health is known within seconds: it wants some 250 requests of each.
+	var classes []standin.Class
+	for _, c := range kampklip {
+		if c.Name == "viewer-clip" || c.Name == "cut-order" {
+			c.Share = 0.5
+			classes = append(classes, c)
+		}
+	}
 	var loads []*standin.Load
 	for i, m := range p.members {
-		l := &standin.Load{Addr: m.listen, Classes: kampklip, Retries: 2, Prefix: m.name + "-", KeepLog: true, Seed: uint64(i)}
+		l := &standin.Load{Addr: m.listen, Classes: classes, Retries: 2, Prefix: m.name + "-", KeepLog: true, Seed: uint64(i)}
 		loads = append(loads, l)
-		running.Go(func() { l.Open(loading, 30, 500) })
+		running.Go(func() { l.Open(loading, 120, 500) })
 	}
 	say := func(want int, part string, args ...string) {
 		t.Helper()
@@ -163,7 +173,7 @@
 			t.Fatalf("%v: exit code %d, %s; want %d with %q", args, code, text, want, part)
 		}
 	}
-	for _, bad := range []struct{ name, version, cause string }{{"crashing", crash, "crashes of version"}, {"mute", never, "crashes of version"}} {
+	for _, bad := range []struct{ name, version, cause string }{{"crashing", crash, "crashes of version"}, {"mute", never, "crashes of version"}, {"deaf", deaf, "wave 1 does worse"}} {
 		file := plan(bad.name, bad.version, 20*time.Second)
 		say(0, "would be done", "plan", file)
 		say(0, "done", "start", file)
--- a/cmd/starlingvalve/release.go
+++ b/cmd/starlingvalve/release.go
@@ -38,6 +38,7 @@
 			LimitMs     int64  `toml:"limit_ms"`
 			MostCrashes uint32 `toml:"most_crashes"`
 			TurnBack    bool   `toml:"turn_back"`
+			Health      bool   `toml:"health"`
 		} `toml:"release"`
 		Wave []struct {
 			Name  string   `toml:"name"`
@@ -48,7 +49,7 @@
 		return nil, err
 	}
 	r := f.Release
-	p := &fleetpb.Plan{Name: r.Name, Version: r.Version, Before: r.Before, Why: r.Why, SoakMs: r.SoakMs, LimitMs: r.LimitMs, MostCrashes: r.MostCrashes, TurnBack: r.TurnBack}
+	p := &fleetpb.Plan{Name: r.Name, Version: r.Version, Before: r.Before, Why: r.Why, SoakMs: r.SoakMs, LimitMs: r.LimitMs, MostCrashes: r.MostCrashes, TurnBack: r.TurnBack, Health: r.Health}
 	for _, w := range f.Wave {
 		p.Waves = append(p.Waves, &fleetpb.Wave{Name: w.Name, Nodes: w.Nodes})
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,6 +13,7 @@
 	"starlingvalve/decide"
 	"starlingvalve/internal/control"
 	"starlingvalve/internal/core"
+	"starlingvalve/internal/fleet/fleetpb"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/front/http1"
 	"starlingvalve/internal/handover"
@@ -216,7 +217,7 @@
 
 // agreement is this node's part in what its fleet agrees on. What it followed at its last end holds before anything is served.
 func (a *assembly) agreement() error {
-	n, err := control.Open(a.c.Fleet, a.loop, a.takeover.drained, a.log)
+	n, err := control.Open(a.c.Fleet, a.loop, fleetNode{a.takeover, a.figures}, a.log)
 	if err != nil {
 		return err
 	}
@@ -225,6 +226,21 @@
 	return nil
 }
 
+// fleetNode is this node to the agreement.
+type fleetNode struct {
+	*takeover
+	figures *stats.Figures
+}
+
+func (n fleetNode) Away(on bool) { n.drained(on) }
+
+func (n fleetNode) Ends() (ends []*fleetpb.Ends) {
+	n.figures.Each(func(class string, answered, deferred, errored int64) {
+		ends = append(ends, &fleetpb.Ends{Class: class, Served: uint64(answered), Refused: uint64(deferred), Failed: uint64(errored)})
+	})
+	return ends
+}
+
 // operations is the second address.
 func (a *assembly) operations() {
 	watched := ops.New(a.second, a.handler.Ready, a.figures, a.log)
--- a/internal/app/takeover.go
+++ b/internal/app/takeover.go
@@ -139,7 +139,7 @@
 	t.handler.Leave(t.stage.Closes() || t.away)
 	t.handler.Away(t.away)
 	if t.agreement != nil {
-		t.agreement.Replaced(t.stage != handover.Alone)
+		t.agreement.Replaced(t.stage != handover.Alone, t.stage == handover.Succeeded)
 	}
 }
 
--- a/internal/control/door.go
+++ b/internal/control/door.go
@@ -109,12 +109,14 @@
 	Pid     int               `json:"pid"`
 	Able    bool              `json:"able"` // it can serve, drained or not
 	Open    int               `json:"open"` // requests
+	// Succeeded: a process that replaces this one serves, and this one may be told to end.
+	Succeeded bool `json:"succeeded"`
 }
 
 // Here tells it.
 func (n *Control) Here() Here {
 	n.mu.Lock()
-	h := Here{Node: n.c.Name, Session: n.epoch, Version: n.held.Version, Out: n.held.Out}
+	h := Here{Node: n.c.Name, Session: n.epoch, Version: n.held.Version, Out: n.held.Out, Succeeded: n.succeeded}
 	n.mu.Unlock()
 	h.Pid, h.Able = os.Getpid(), n.loop.Able()
 	h.Open, _ = n.loop.Open()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -37,6 +37,14 @@
 	Listed() core.List
 }
 
+// Node is the rest of the node to this package.
+type Node interface {
+	// Away has the node say that it is not ready, and its clients go, or ends that: it is drained.
+	Away(on bool)
+	// Ends gives the requests that are over, by class.
+	Ends() []*fleetpb.Ends
+}
+
 const (
 	aliveParts  = 3 // keep-alives in a session's life
 	callWait    = 1500 * time.Millisecond
@@ -57,22 +65,23 @@
 	c       *Config
 	loop    Loop
 	log     *slog.Logger
-	away    func(on bool) // the node itself is drained: it says that it is not ready, and its clients are to go
-	process string        // of this run
+	node    Node
+	process string // of this run
 	ctx     context.Context
 	stop    context.CancelFunc
 	work    sync.WaitGroup
 	calls   *link.Calls
 	voter   *voter // nil: it is none
 
-	mu      sync.Mutex
-	leader  int       // index of the voter that is asked first
-	epoch   uint64    // of the session; 0: none
-	until   time.Time // the session holds, counted from before it was asked for
-	held    held
-	follows chan struct{} // closed at the next order
-	moved   chan struct{} // closed when another voter is asked first
-	silent  bool          // a process that replaces this one serves beside it
+	mu        sync.Mutex
+	leader    int       // index of the voter that is asked first
+	epoch     uint64    // of the session; 0: none
+	until     time.Time // the session holds, counted from before it was asked for
+	held      held
+	follows   chan struct{} // closed at the next order
+	moved     chan struct{} // closed when another voter is asked first
+	succeeded bool
+	silent    bool // a process that replaces this one serves beside it
 }
 
 // held is what this node follows, on its disk: a process that starts follows it before it serves.
@@ -82,12 +91,12 @@
 	Out     map[string]uint64 `json:"out"` // targets, and the epochs of their drains
 }
 
-// Open reads what the node followed at its last end. away is told whether the node itself is drained.
-func Open(c *Config, loop Loop, away func(on bool), log *slog.Logger) (*Control, error) {
+// Open reads what the node followed at its last end.
+func Open(c *Config, loop Loop, node Node, log *slog.Logger) (*Control, error) {
 	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
 		return nil, fmt.Errorf("%s: node.folder: %w", c.Path, err)
 	}
-	n := &Control{c: c, loop: loop, away: away, log: log, process: rand.Text(), follows: make(chan struct{}), moved: make(chan struct{})}
+	n := &Control{c: c, loop: loop, node: node, log: log, process: rand.Text(), follows: make(chan struct{}), moved: make(chan struct{})}
 	var err error
 	if n.held, err = n.kept(); err != nil {
 		log.Warn("fleet: what this node followed before is not known", "err", err)
@@ -135,7 +144,7 @@
 	if n.followed().Log != "" {
 		return
 	}
-	n.away(true)
+	n.node.Away(true)
 	n.work.Go(func() {
 		n.mu.Lock()
 		news := n.follows
@@ -146,7 +155,7 @@
 		case <-time.After(firstWord):
 			if n.followed().Log == "" {
 				n.log.Warn("fleet: the others are not heard; this node serves by its own decisions")
-				n.away(false)
+				n.node.Away(false)
 			}
 		}
 	})
@@ -385,7 +394,7 @@
 		asked := time.Now()
 		ctx, cancel := context.WithTimeout(n.ctx, n.c.Life)
 		r, err := n.Ask(ctx, &fleetpb.Entry{What: &fleetpb.Entry_Open{Open: &fleetpb.OpenSession{Node: n.c.Name, Zone: n.c.Zone, Process: n.process,
-			Level: fleet.Level, Voter: n.c.Votes(), Dead: n.suspects()}}})
+			Level: fleet.Level, Voter: n.c.Votes(), Dead: n.suspects(), Ends: n.node.Ends()}}})
 		cancel()
 		pause := n.c.Life / aliveParts
 		n.mu.Lock()
@@ -494,7 +503,7 @@
 // hold has the loop, and the node, follow.
 func (n *Control) hold(h held) {
 	n.loop.Hold(heldOf(slices.Collect(maps.Keys(h.Out))...))
-	n.away(h.Out[fleet.NodeTarget(n.c.Name)] > 0)
+	n.node.Away(h.Out[fleet.NodeTarget(n.c.Name)] > 0)
 }
 
 // heldOf gives the servers and zones among targets.
@@ -547,10 +556,11 @@
 
 // Replaced tells whether another process serves beside this one, to replace it. What this one has stopped says nothing of the other
 // then: that one speaks for the node once it is alone.
-func (n *Control) Replaced(on bool) {
+// succeeded: that one serves already, and this one may be told to end.
+func (n *Control) Replaced(on, succeeded bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.silent = on
+	n.silent, n.succeeded = on, succeeded
 }
 
 // acknowledge tells the leader of each drain once nothing of this node's own is left there.
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -69,8 +69,9 @@
 	birth     string
 	ids       map[string]uint64 // raft's numbers of the voters, by name
 	gathering *gathering        // nil: none is open
-	member    *agree.Member     // nil until the voters have found each other
-	changed   chan struct{}     // closed at the next news
+	vitals    vitals
+	member    *agree.Member // nil until the voters have found each other
+	changed   chan struct{} // closed at the next news
 	heard     map[string]time.Time
 	lapsing   map[string]uint64   // sessions whose end is on its way
 	dead      map[string][]string // servers, by the nodes that find them dead
@@ -539,8 +540,8 @@
 // keepAlive opens a node's session, or notes that it was heard, which costs no entry. Either way this voter has been the leader
 // since the node asked: another one, that may let the session lapse, counts from later.
 func (v *voter) keepAlive(ctx context.Context, m *agree.Member, e *fleetpb.Entry, o *fleetpb.OpenSession) (*fleetpb.Result, error) {
-	dead := o.Dead
-	o.Dead = nil // the log holds what the leader makes of it
+	dead, ends := o.Dead, o.Ends
+	o.Dead, o.Ends = nil, nil // the log holds what the leader makes of it
 	if err := m.Lead(ctx); err != nil {
 		return nil, err
 	}
@@ -566,6 +567,7 @@
 		return &fleetpb.Result{Code: fleetpb.Result_FENCED, Reason: "the session has lapsed"}, nil
 	}
 	v.heard[o.Node], v.dead[o.Node] = time.Now(), dead
+	v.vitals.tell(o.Node, epoch, ends)
 	return &fleetpb.Result{Code: fleetpb.Result_DONE, Epoch: epoch}, nil
 }
 
@@ -613,6 +615,7 @@
 			clear(v.heard)
 			clear(v.lapsing)
 			clear(v.dead)
+			v.vitals = vitals{}
 			v.mu.Unlock()
 			v.log.Info("fleet: this voter leads", "term", term)
 		}
@@ -680,6 +683,9 @@
 			d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_End{End: &fleetpb.EndSession{Node: name, Epoch: n.Epoch, Lapsed: true}}})
 		}
 	}
+	if j := v.vitals.judge(s, now); j != nil {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Judged{Judged: j}})
+	}
 	if told, dead := evidence(s, v.dead); !told {
 		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Observed{Observed: &fleetpb.Observed{Dead: dead}}})
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -184,6 +184,8 @@
 		return m.steer(w.Steer)
 	case *fleetpb.Entry_Supervised:
 		return m.supervised(w.Supervised)
+	case *fleetpb.Entry_Judged:
+		return m.judged(w.Judged)
 	case *fleetpb.Entry_Clock:
 		return done(m.s.Epoch)
 	}
--- a/internal/fleet/release.go
+++ b/internal/fleet/release.go
@@ -28,6 +28,12 @@
 	UnitCrashed  = "crashed"
 )
 
+// What is known of a wave's health.
+const (
+	HealthWell  = "well"
+	HealthWorse = "worse"
+)
+
 const (
 	mostWaves = 100
 	mostBad   = 100
@@ -164,6 +170,19 @@
 	return done(m.s.Epoch)
 }
 
+// judged takes the leader's finding, if it is on the wave that soaks now.
+func (m *Machine) judged(j *fleetpb.Judged) *fleetpb.Result {
+	r := m.s.Release
+	if r == nil || r.State != Running || r.Plan.Name != j.Release || r.Wave != j.Wave || r.SoakMs != j.SoakMs || r.SoakMs == 0 {
+		return &fleetpb.Result{Code: fleetpb.Result_FENCED, Reason: "that wave soaks no more"}
+	}
+	if r.Health = j.Health; j.Health == HealthWorse {
+		r.Cause = j.Why
+	}
+	m.log(m.releaseName(r), "health of wave %d: %s %s", r.Wave+1, j.Health, j.Why)
+	return done(m.s.Epoch)
+}
+
 // aim is the version that a release brings nodes to now.
 func (m *Machine) aim(r *fleetpb.Release) string {
 	if r.State == TurningBack || r.State == Halted {
@@ -261,14 +280,20 @@
 	case !ready && m.s.NowMs-r.WaveMs > p.LimitMs:
 		halt("wave %d is not ready within %d ms", r.Wave+1, p.LimitMs)
 	case !ready:
-		r.SoakMs = 0
+		r.SoakMs, r.Health = 0, ""
 	case r.SoakMs == 0:
-		r.SoakMs = m.s.NowMs
+		r.SoakMs, r.Health = m.s.NowMs, ""
+	case p.Health && r.Health == HealthWorse:
+		halt("wave %d does worse: %s", r.Wave+1, r.Cause)
+	case p.Health && r.Health != HealthWell:
+		if m.s.NowMs-r.SoakMs > p.SoakMs+p.LimitMs {
+			halt("the health of wave %d is not known within %d ms behind its soak: too little traffic", r.Wave+1, p.LimitMs)
+		}
 	case m.s.NowMs-r.SoakMs >= p.SoakMs && int(r.Wave) == len(p.Waves)-1:
 		m.become(Done, "agreement", "all waves are ready")
 	case m.s.NowMs-r.SoakMs >= p.SoakMs:
 		m.log(m.releaseName(r), "wave %d is done", r.Wave+1)
-		r.Wave, r.WaveMs, r.SoakMs = r.Wave+1, m.s.NowMs, 0
+		r.Wave, r.WaveMs, r.SoakMs, r.Health = r.Wave+1, m.s.NowMs, 0, ""
 		m.forward(r)
 	}
 }
--- a/internal/fleet/release_test.go
+++ b/internal/fleet/release_test.go
@@ -259,6 +259,36 @@
 	}
 }
 
+// A wave that does worse halts, one whose health is not known waits and then halts, one that is well goes on; findings on another soak are nothing.
+func TestReleaseHealth(t *testing.T) {
+	for health, state := range map[string]string{HealthWell: Done, HealthWorse: TurnedBack, "": TurnedBack} {
+		y := newYard(t, 2, 4, 1, func(string, string) string { return "" })
+		y.plan(func(p *fleetpb.Plan) { p.Health = true })
+		judge := func(soak int64) *fleetpb.Result {
+			r := y.m.State().Release
+			return y.say(&fleetpb.Entry{What: &fleetpb.Entry_Judged{Judged: &fleetpb.Judged{Release: "r1", Wave: r.Wave, SoakMs: soak, Health: health, Why: "cut-order: 9 of 10 failed"}}})
+		}
+		for range 3000 {
+			r := y.m.State().Release
+			if over(r.State) {
+				break
+			}
+			if r.State == Running && r.SoakMs > 0 && r.Health == "" && health != "" {
+				if late := judge(r.SoakMs - 1); late.Code != fleetpb.Result_FENCED {
+					t.Errorf("a finding on another soak: %v", late)
+				}
+				judge(r.SoakMs)
+			}
+			y.step()
+		}
+		r := y.m.State().Release
+		if r.State != state || health == HealthWorse && (!strings.Contains(y.history(), "wave 1 does worse: cut-order: 9 of 10 failed") || len(y.touched) != 1) ||
+			health == "" && !strings.Contains(y.history(), "too little traffic") {
+			t.Errorf("health %q: %s, %s\n%s", health, r.State, r.Cause, y.history())
+		}
+	}
+}
+
 func TestCheckPlan(t *testing.T) {
 	for field, edit := range map[string]func(p *fleetpb.Plan){
 		"":              func(*fleetpb.Plan) {},
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,100 @@
+package health
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// play draws requests of both versions until a verdict, looked at after each batch.
+func play(seed uint64, newBad, oldBad float64, part float64) (Verdict, uint64) {
+	src := rand.NewPCG(seed, 3)
+	var n, o Ends
+	for range 4000 {
+		fresh := uint64(distuv.Binomial{N: 50, P: part, Src: src}.Rand())
+		add := func(e *Ends, count uint64, p float64) {
+			bad := uint64(distuv.Binomial{N: float64(count), P: p, Src: src}.Rand())
+			e.Failed += bad
+			e.Served += count - bad
+		}
+		add(&n, fresh, newBad)
+		add(&o, 50-fresh, oldBad)
+		if v, _ := Judge(map[string]Ends{"c": n}, map[string]Ends{"c": o}); v != Unknown {
+			return v, n.Served + n.Failed
+		}
+	}
+	return Unknown, n.Served + n.Failed
+}
+
+// The stated error rates hold over a thousand plays each, for rates and parts of the traffic of several kinds, and a verdict comes in time.
+func TestErrorRates(t *testing.T) {
+	for name, c := range map[string]struct {
+		newBad, oldBad, part float64
+		want                 Verdict
+		most                 uint64 // requests of the new version, at the median
+	}{
+		"no failures":                   {0, 0, 0.1, Well, 400},
+		"both fail a little":            {0.001, 0.001, 0.1, Well, 1000},
+		"both fail much":                {0.1, 0.1, 0.2, Well, 3000},
+		"2% of one class":               {0.02, 0.0005, 0.1, Worse, 1500},
+		"a canary of one in fifty":      {0.05, 0.001, 0.02, Worse, 800},
+		"refuses everything":            {1, 0.001, 0.05, Worse, 100},
+		"thrice as much as a poor one":  {0.15, 0.05, 0.2, Worse, 1000},
+		"better than the one before it": {0.001, 0.05, 0.1, Well, 1000},
+	} {
+		wrong, open := 0, 0
+		var counts []uint64
+		const plays = 1000
+		for seed := range uint64(plays) {
+			v, n := play(seed, c.newBad, c.oldBad, c.part)
+			counts = append(counts, n)
+			switch v {
+			case c.want:
+			case Unknown:
+				open++
+			default:
+				wrong++
+			}
+		}
+		bound := Missed
+		if c.want == Well {
+			bound = FalseAlarm
+		}
+		stated := bound * plays
+		if most := stated + 3.5*math.Sqrt(stated) + 1; float64(wrong) > most || open > plays/100 { // three deviations and a half
+			t.Errorf("%s: %d wrong and %d open of %d, stated %.0f", name, wrong, open, plays, stated)
+		}
+		middle := counts[0]
+		for _, n := range counts {
+			middle = (middle*9 + n) / 10
+		}
+		if middle > 2*c.most {
+			t.Errorf("%s: a verdict after some %d requests, want %d", name, middle, c.most)
+		}
+	}
+}
+
+// Too little traffic is not known; a class that hardly comes says nothing; the worse class is named.
+func TestJudge(t *testing.T) {
+	good := map[string]Ends{"a": {Served: 5000}, "b": {Served: 5000}}
+	for name, c := range map[string]struct {
+		fresh, old map[string]Ends
+		want       Verdict
+		why        string
+	}{
+		"nothing":              {nil, good, Unknown, "no request has ended at the new version"},
+		"little":               {map[string]Ends{"a": {Served: 40}, "b": {Served: 40}}, good, Unknown, "b: 0 of 40 refused, 0 of 5000 at the version before"},
+		"well":                 {map[string]Ends{"a": {Served: 400}, "b": {Served: 400}}, good, Well, ""},
+		"one class fails":      {map[string]Ends{"a": {Served: 400}, "b": {Served: 300, Failed: 60}}, good, Worse, "b: 60 of 360 failed, 0 of 5000 at the version before"},
+		"one class is refused": {map[string]Ends{"a": {Refused: 400}, "b": {Served: 400}}, good, Worse, "a: 400 of 400 refused, 0 of 5000 at the version before"},
+		"a rare class":         {map[string]Ends{"a": {Served: 9000}, "c": {Failed: 1}}, good, Well, ""},
+		"nobody to compare":    {map[string]Ends{"a": {Served: 400}}, nil, Well, ""},
+		"bad, and nobody":      {map[string]Ends{"a": {Served: 300, Failed: 60}}, nil, Worse, "a: 60 of 360 failed, 0 of 0 at the version before"},
+	} {
+		if v, why := Judge(c.fresh, c.old); v != c.want || why != c.why {
+			t.Errorf("%s: %v, %q; want %v, %q", name, v, why, c.want, c.why)
+		}
+	}
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// Each gives the ends of every class, by its name.
+func (f *Figures) Each(take func(class string, answered, deferred, errored int64)) {
+	for _, name := range f.names {
+		e := f.classes[name]
+		take(name, e.Answered.Load(), e.Deferred.Load(), e.Errored.Load())
+	}
+}
+
 // Sent counts an attempt that has been written whole to a server.
 func (f *Figures) Sent() {
 	if f != nil {
--- a/internal/supervise/config.go
+++ b/internal/supervise/config.go
@@ -15,8 +15,7 @@
 	Fleet  *control.Config
 	Folder string        // of programs
 	Args   []string      // of the node
-	Drain  time.Duration // for what a node has, before it is told to end
-	End    time.Duration // from then on, until it is killed
+	End    time.Duration // of a process that was told to end, until it is killed
 	Ready  time.Duration // a node that is not ready by then counts as crashed
 }
 
@@ -31,12 +30,11 @@
 			Fleet   string   `toml:"fleet"`
 			Folder  string   `toml:"folder"`
 			Args    []string `toml:"args"`
-			DrainMs int      `toml:"drain_ms"`
 			EndMs   int      `toml:"end_ms"`
 			ReadyMs int      `toml:"ready_ms"`
 		} `toml:"supervise"`
 	}
-	f.Supervise.DrainMs, f.Supervise.EndMs, f.Supervise.ReadyMs = 3000, 10_000, 15_000
+	f.Supervise.EndMs, f.Supervise.ReadyMs = 10_000, 15_000
 	if err := tomlfile.Decode(path, raw, &f); err != nil {
 		return nil, err
 	}
@@ -54,12 +52,12 @@
 	for _, l := range []struct {
 		key               string
 		have, least, most int
-	}{{"supervise.drain_ms", s.DrainMs, 0, 600_000}, {"supervise.end_ms", s.EndMs, 1000, 600_000}, {"supervise.ready_ms", s.ReadyMs, 500, 600_000}} {
+	}{{"supervise.end_ms", s.EndMs, 1000, 600_000}, {"supervise.ready_ms", s.ReadyMs, 500, 600_000}} {
 		if l.have < l.least || l.have > l.most {
 			return nil, fault(l.key, "want %d to %d, have %d", l.least, l.most, l.have)
 		}
 	}
-	c := &Config{Path: path, Folder: beside(s.Folder), Args: append([]string{"-fleet", beside(s.Fleet)}, s.Args...), Drain: time.Duration(s.DrainMs) * time.Millisecond,
+	c := &Config{Path: path, Folder: beside(s.Folder), Args: append([]string{"-fleet", beside(s.Fleet)}, s.Args...),
 		End: time.Duration(s.EndMs) * time.Millisecond, Ready: time.Duration(s.ReadyMs) * time.Millisecond}
 	if c.Fleet, err = control.Load(beside(s.Fleet), now); err != nil {
 		return nil, fault("supervise.fleet", "%v", err)
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -184,19 +184,75 @@
 	for ctx.Err() == nil {
 		if p == nil {
 			var err error
-			if p, err = s.start(); err != nil {
+			if p, err = s.start(s.chosen.Version); err != nil {
 				s.tell(s.chosen.Version, fleet.UnitCrashed, err.Error())
-				if s.back(ctx, wait) {
-					wait = min(2*wait, againLast)
-				}
+				wait = s.back(ctx, wait)
 				continue
 			}
 			s.tell(s.chosen.Version, fleet.UnitStarting, "")
 		}
-		began, ready := time.Now(), false
-		var turn *fleetpb.Turn
+		want, failed := s.watch(ctx, p)
+		switch {
+		case ctx.Err() != nil:
+		case want != "":
+			p = s.replace(ctx, p, want)
+			wait = againFirst
+		default:
+			s.tell(s.chosen.Version, fleet.UnitCrashed, failed)
+			s.end(p)
+			p = nil
+			wait = s.back(ctx, wait)
+		}
+	}
+	if p != nil {
+		s.end(p)
+	}
+}
+
+// watch stays with a process until another version is wanted, or it has failed.
+func (s *Supervisor) watch(ctx context.Context, p *process) (want, failed string) {
+	began, ready := time.Now(), false
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-p.ended:
+			return "", fmt.Sprintf("it ended after %v: %v", time.Since(began).Round(time.Millisecond), p.err)
+		case <-s.news:
+		case <-time.After(lookEvery):
+		}
+		if !ready && s.isReady(ctx, p) {
+			ready = true
+			s.well()
+			s.tell(s.chosen.Version, fleet.UnitReady, "")
+		}
+		if t := s.next(); t != nil && t.Version != s.chosen.Version {
+			return t.Version, ""
+		} else if t != nil && ready {
+			s.tell(t.Version, fleet.UnitReady, "")
+		}
+		if !ready && time.Since(began) > s.c.Ready {
+			return "", fmt.Sprintf("it is not ready after %v", s.c.Ready)
+		}
+	}
+	return "", ""
+}
+
+// replace brings the node to a version: a process of it is started beside the one that serves, takes over its sockets (internal/handover), and the old
+// one ends by itself. One that ends before, or is not ready in time, changes nothing for clients; it is tried again until another
+// version is wanted. It gives the process that is the node's then.
+func (s *Supervisor) replace(ctx context.Context, old *process, want string) *process {
+	s.log.Info("supervise: turn", "from", s.chosen.Version, "to", want)
+	for wait := againFirst; ; wait = min(2*wait, againLast) {
+		began := time.Now()
+		p, err := s.start(want)
 		failed := ""
-		for turn == nil && failed == "" && ctx.Err() == nil {
+		if err != nil {
+			failed = err.Error()
+		} else {
+			s.tell(want, fleet.UnitStarting, "")
+		}
+		changed, told := "", false
+		for failed == "" && changed == "" && ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
 			case <-p.ended:
@@ -205,90 +261,122 @@
 			case <-s.news:
 			case <-time.After(lookEvery):
 			}
-			turn = s.next()
-			if !ready && s.isReady(ctx, p) {
-				ready, wait = true, againFirst
-				s.chosen.Well = s.chosen.Version
-				if err := s.programs.Choose(s.chosen); err != nil {
-					s.log.Error("supervise: what runs can't be noted", "err", err)
+			h, err := s.here(ctx)
+			switch {
+			case err != nil:
+			case h.Pid == old.Pid && h.Succeeded && !told:
+				told = true
+				old.Signal(syscall.SIGTERM) // it answers what it has
+			case h.Pid != old.Pid && h.Pid != p.Pid && h.Node == s.c.Fleet.Name:
+				// A supervisor before this one had begun the turn, and what it started has taken over.
+				if other := s.adopt(ctx); other != nil {
+					s.end(p)
+					s.end(old)
+					if s.chosen.Version != want {
+						return s.replace(ctx, other, want)
+					}
+					return other
 				}
-				s.tell(s.chosen.Version, fleet.UnitReady, "")
 			}
-			if !ready && time.Since(began) > s.c.Ready {
+			if s.isReady(ctx, p) {
+				s.end(old) // it has ended
+				s.choose(want)
+				s.well()
+				s.tell(want, fleet.UnitReady, "")
+				return p
+			}
+			if t := s.next(); t != nil && t.Version != want {
+				changed = t.Version
+			}
+			if time.Since(began) > s.c.Ready {
 				failed = fmt.Sprintf("it is not ready after %v", s.c.Ready)
 			}
 		}
-		switch {
-		case ctx.Err() != nil:
-		case turn != nil:
-			if next := s.change(ctx, p, turn, ready); next {
-				p, wait = nil, againFirst
-			}
-			continue
-		default:
-			s.tell(s.chosen.Version, fleet.UnitCrashed, failed)
+		if p != nil {
 			s.end(p)
-			p = nil
-			if s.back(ctx, wait) {
-				wait = min(2*wait, againLast)
+		}
+		gone := false
+		select {
+		case <-old.ended: // it may have handed over already
+			gone = true
+		default:
+		}
+		if failed != "" {
+			s.tell(want, fleet.UnitCrashed, failed)
+			timer := time.NewTimer(wait)
+			for waiting := true; waiting; {
+				select {
+				case <-ctx.Done():
+					waiting = false
+				case <-timer.C:
+					waiting = false
+				case <-s.news:
+					if t := s.next(); t != nil && t.Version != want {
+						changed, waiting = t.Version, false
+					}
+				}
+			}
+			timer.Stop()
+			if changed == "" && s.unreached() {
+				s.log.Warn("supervise: the agreement is out of reach; back to the version that was well", "version", s.chosen.Well)
+				changed = s.chosen.Well
 			}
 		}
-	}
-	if p != nil {
-		s.end(p)
+		switch {
+		case gone:
+			if changed != "" {
+				s.choose(changed)
+			}
+			return nil
+		case ctx.Err() != nil:
+			return old
+		case changed == s.chosen.Version:
+			s.log.Info("supervise: stays as it was", "version", changed)
+			return old
+		case changed != "":
+			want = changed
+		}
 	}
 }
 
-// back waits before the next start, or for a turn. Out of reach of the agreement, a version that was never ready gives way to the last one that was.
-func (s *Supervisor) back(ctx context.Context, wait time.Duration) (waited bool) {
+// back waits before the next start, or for a turn, and gives the next wait. Out of reach of the agreement, a version that was never ready
+// gives way to the last one that was.
+func (s *Supervisor) back(ctx context.Context, wait time.Duration) time.Duration {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
+		return wait
 	case <-timer.C:
 	case <-s.news:
 	}
 	if t := s.next(); t != nil {
 		s.choose(t.Version)
-		return false
+		return againFirst
 	}
 	if s.unreached() && s.chosen.Version != s.chosen.Well {
 		s.log.Warn("supervise: the agreement is out of reach; back to the version that was well", "version", s.chosen.Well)
 		s.choose(s.chosen.Well)
 	}
-	return true
+	return min(2*wait, againLast)
 }
 
 // choose has a version run from the next start on.
 func (s *Supervisor) choose(version string) {
 	s.chosen.Version = version
-	if err := s.programs.Choose(s.chosen); err != nil {
-		s.log.Error("supervise: what runs can't be noted", "err", err)
-	}
+	s.note()
 }
 
-// change makes a turn: the node is emptied and ends. It tells whether another one is to be started.
-func (s *Supervisor) change(ctx context.Context, p *process, t *fleetpb.Turn, ready bool) bool {
-	if t.Version == s.chosen.Version {
-		if ready {
-			s.tell(t.Version, fleet.UnitReady, "")
-		}
-		return false
-	}
-	if _, err := s.programs.Path(t.Version); err != nil {
-		s.tell(t.Version, fleet.UnitCrashed, err.Error())
-		return false
-	}
-	s.log.Info("supervise: turn", "from", s.chosen.Version, "to", t.Version, "epoch", t.Epoch)
-	for end := time.Now().Add(s.c.Drain); ready && time.Now().Before(end) && ctx.Err() == nil; time.Sleep(lookEvery) {
-		if h, err := s.here(ctx); err != nil || h.Open == 0 && h.Out[fleet.NodeTarget(s.c.Fleet.Name)] > 0 {
-			break
-		}
+// well notes that the version that runs was ready.
+func (s *Supervisor) well() {
+	s.chosen.Well = s.chosen.Version
+	s.note()
+}
+
+func (s *Supervisor) note() {
+	if err := s.programs.Choose(s.chosen); err != nil {
+		s.log.Error("supervise: what runs can't be noted", "err", err)
 	}
-	s.end(p)
-	s.choose(t.Version)
-	return true
 }
 
 func (s *Supervisor) here(ctx context.Context) (control.Here, error) {
@@ -304,13 +392,16 @@
 }
 
 // start starts the node's process. It does not end with this one.
-func (s *Supervisor) start() (*process, error) {
-	path, err := s.programs.Path(s.chosen.Version)
+func (s *Supervisor) start(version string) (*process, error) {
+	path, err := s.programs.Path(version)
 	if err != nil {
 		return nil, err
 	}
 	cmd := exec.Command(path, s.c.Args...)
 	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	if os.Getenv("TMPDIR") == "" { // where processes of the node meet
+		cmd.Env = append(os.Environ(), "TMPDIR="+s.c.Folder)
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return nil, err
@@ -323,7 +414,7 @@
 	return p, nil
 }
 
-// adopt takes up a node that a supervisor before this one has left running; nil: there is none.
+// adopt takes up a node that a supervisor before this one has left running; nil: there is none. The version that runs is the one chosen then.
 func (s *Supervisor) adopt(ctx context.Context) *process {
 	h, err := s.here(ctx)
 	if err != nil || h.Node != s.c.Fleet.Name {
@@ -341,11 +432,13 @@
 		close(p.ended)
 	}()
 	exe, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", h.Pid))
-	if err == nil && filepath.Base(exe) == s.chosen.Version {
-		s.log.Info("supervise: takes up the node that runs", "pid", h.Pid)
+	version := filepath.Base(exe)
+	if _, unknown := s.programs.Path(version); err == nil && unknown == nil && filepath.Dir(exe) == s.c.Folder {
+		s.log.Info("supervise: takes up the node that runs", "pid", h.Pid, "version", version)
+		s.choose(version)
 		return p
 	}
-	s.log.Warn("supervise: the node that runs is not of the version chosen; it is ended", "pid", h.Pid, "program", exe)
+	s.log.Warn("supervise: the node that runs is of no version that is held here; it is ended", "pid", h.Pid, "program", exe)
 	s.end(p)
 	return nil
 }
