Rig of drains: a server that went by itself costs no budget, as the program has it

Ruled out: the log and its order. Change: the checkers except and count drains of servers that the rig itself had taken off the list; a client without time left sends nothing.

--- a/cmd/rig/faults.go
+++ b/cmd/rig/faults.go
@@ -192,9 +192,11 @@
 		s := servers[at%len(servers)]
 		e := standin.EntryOf(s)
 		e.State = "gone"
+		from := time.Now()
 		registry.Set(e)
 		sleepFor(ctx, length)
 		registry.Set(standin.EntryOf(s))
+		p.gone = append(p.gone, goneTime{s.Name, span{from, time.Now().Add(goneSeen)}})
 	case loseDisk:
 		last := p.voters - 1
 		p.members[last].kill()
--- a/cmd/rig/pack.go
+++ b/cmd/rig/pack.go
@@ -33,6 +33,13 @@
 	watched  bool // each member's process is a supervisor, which keeps the node's
 	members  []*packed
 	history  *history
+	gone     []goneTime // servers that went by themselves
+}
+
+// goneTime is when the registry did not list a server, and a while longer: its word takes its time.
+type goneTime struct {
+	server string
+	span
 }
 
 // packed is a member of a pack: a place that has one process at a time.
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -247,6 +247,9 @@
 		c, err := conn()
 		if err != nil {
 			a.At, a.Fault = time.Now(), "no connection: "+err.Error()
+		} else if !time.Now().Before(deadline) { // nothing was sent
+			c.Close()
+			a.At, a.Fault = time.Now(), "no connection in time"
 		} else {
 			used := c.used
 			give(c, c.ask(class, &a))
