A turn is over only once its supervisor has heard of it; late words of supervisors are fenced

Cause: read in review: a turn that turned round while its supervisor was still making the first one ended at once, by a word of before, and the node came up with the version that was turned back (internal/fleet/release.go, finishTurns). TestTurnRound shows it. Change: units bear the epoch of the newest turn begun, a turn ends by a word of its own epoch, a word of an earlier one is refused. A supervisor's paths are absolute.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -475,7 +475,7 @@
 	}
 	if r := m.s.Release; r != nil {
 		for _, n := range slices.Sorted(maps.Keys(r.Turns)) {
-			o.Turns = append(o.Turns, r.Turns[n])
+			o.Turns = append(o.Turns, proto.CloneOf(r.Turns[n]))
 		}
 	}
 	return o
--- a/internal/fleet/release.go
+++ b/internal/fleet/release.go
@@ -156,7 +156,14 @@
 	if was == nil && len(m.s.Units) >= mostNodes {
 		return invalid("supervised: %d nodes are known already", len(m.s.Units))
 	}
-	u := &fleetpb.Unit{Version: s.Version, State: s.State, SinceMs: m.s.NowMs}
+	turn := s.Turn
+	if was != nil && turn == 0 { // a supervisor that has just started has heard of none yet
+		turn = was.Turn
+	}
+	if was != nil && turn < was.Turn {
+		return &fleetpb.Result{Code: fleetpb.Result_FENCED, Reason: fmt.Sprintf("a word of turn %d, and turn %d has begun", s.Turn, was.Turn)}
+	}
+	u := &fleetpb.Unit{Version: s.Version, State: s.State, SinceMs: m.s.NowMs, Turn: turn}
 	if was != nil && was.Version == u.Version && was.State == u.State {
 		u.SinceMs = was.SinceMs
 	}
@@ -218,7 +225,8 @@
 func (m *Machine) finishTurns(r *fleetpb.Release) {
 	for _, n := range slices.Sorted(maps.Keys(r.Turns)) {
 		t, u := r.Turns[n], m.s.Units[n]
-		if u == nil || u.State != UnitReady || u.Version != t.Version {
+		// A supervisor that has not heard of this turn yet may still be making an earlier one.
+		if u == nil || u.State != UnitReady || u.Version != t.Version || u.Turn < t.Epoch {
 			continue
 		}
 		delete(r.Turns, n)
--- a/internal/fleet/release_test.go
+++ b/internal/fleet/release_test.go
@@ -58,7 +58,7 @@
 }
 
 func (y *yard) told(n, state string) {
-	y.say(&fleetpb.Entry{What: &fleetpb.Entry_Supervised{Supervised: &fleetpb.Supervised{Node: n, Version: y.version[n], State: state}}})
+	y.say(&fleetpb.Entry{What: &fleetpb.Entry_Supervised{Supervised: &fleetpb.Supervised{Node: n, Version: y.version[n], State: state, Turn: y.turned[n]}}})
 }
 
 func (y *yard) plan(edit func(p *fleetpb.Plan)) *fleetpb.Result {
@@ -259,6 +259,37 @@
 	}
 }
 
+// A turn that turns round is over only once its supervisor has heard of that: until then it may still be making the earlier one, and its word
+// of being ready as it was is of before. Late words are fenced.
+func TestTurnRound(t *testing.T) {
+	y := newYard(t, 3, 4, 1, func(string, string) string { return "" })
+	y.plan(nil)
+	first := y.m.Orders().Turns[0]
+	if first.Node != "n00" || first.Version != yardNew {
+		t.Fatal(first)
+	}
+	y.steer("back") // its supervisor has not begun, and still calls the node ready
+	y.told("n00", UnitReady)
+	turns := y.m.Orders().Turns
+	if len(turns) != 1 || turns[0].Version != yardOld || turns[0].Epoch <= first.Epoch || y.m.State().Release.State != TurningBack {
+		t.Fatalf("over before its supervisor has heard of it: %v, %v", turns, y.m.State().Release)
+	}
+	y.turned["n00"], y.version["n00"] = first.Epoch, yardNew // it hears of the first one late
+	y.told("n00", UnitReady)
+	if y.m.State().Release.State != TurningBack {
+		t.Fatal("turned back, while a node has the version")
+	}
+	y.turned["n00"], y.version["n00"] = turns[0].Epoch, yardOld
+	y.told("n00", UnitReady)
+	if y.m.State().Release.State != TurnedBack {
+		t.Error(y.m.State().Release)
+	}
+	y.turned["n00"] = first.Epoch
+	if r := y.say(&fleetpb.Entry{What: &fleetpb.Entry_Supervised{Supervised: &fleetpb.Supervised{Node: "n00", Version: yardNew, State: UnitReady, Turn: first.Epoch}}}); r.Code != fleetpb.Result_FENCED {
+		t.Errorf("a word of an earlier turn: %v", r)
+	}
+}
+
 // A wave that does worse halts, one whose health is not known waits and then halts, one that is well goes on; findings on another soak are nothing.
 func TestReleaseHealth(t *testing.T) {
 	for health, state := range map[string]string{HealthWell: Done, HealthWorse: TurnedBack, "": TurnedBack} {
--- a/internal/supervise/config.go
+++ b/internal/supervise/config.go
@@ -57,9 +57,14 @@
 			return nil, fault(l.key, "want %d to %d, have %d", l.least, l.most, l.have)
 		}
 	}
-	c := &Config{Path: path, Folder: beside(s.Folder), Args: append([]string{"-fleet", beside(s.Fleet)}, s.Args...),
+	for key, name := range map[string]*string{"supervise.folder": &s.Folder, "supervise.fleet": &s.Fleet} { // the node may be started elsewhere
+		if *name, err = filepath.Abs(beside(*name)); err != nil {
+			return nil, fault(key, "%v", err)
+		}
+	}
+	c := &Config{Path: path, Folder: s.Folder, Args: append([]string{"-fleet", s.Fleet}, s.Args...),
 		End: time.Duration(s.EndMs) * time.Millisecond, Ready: time.Duration(s.ReadyMs) * time.Millisecond}
-	if c.Fleet, err = control.Load(beside(s.Fleet), now); err != nil {
+	if c.Fleet, err = control.Load(s.Fleet, now); err != nil {
 		return nil, fault("supervise.fleet", "%v", err)
 	}
 	return c, nil
