--- /dev/null
+++ b/internal/control/ask.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// errNoLeader tells that no voter that leads was reached.
+var errNoLeader = errors.New("the agreement is out of reach: no voter that leads answers")
+
+// call asks the leader, wherever it is, until ctx ends. An entry may be asked again only if it bears its number, or does no harm twice.
+func (n *Control) call(ctx context.Context, kind uint64, request []byte) ([]byte, error) {
+	last := errNoLeader
+	for try := 0; ; try++ {
+		n.mu.Lock()
+		at := n.leader
+		n.mu.Unlock()
+		v := n.c.Voters[at]
+		wait := callWait
+		if kind == kindOrders {
+			wait += ordersHold
+		}
+		one, cancel := context.WithTimeout(ctx, wait)
+		status, answer, err := n.one(one, v, kind, request)
+		cancel()
+		next := (at + 1) % len(n.c.Voters)
+		switch {
+		case err != nil:
+			last = fmt.Errorf("%w; the last one asked: %w", errNoLeader, err)
+		case status == statusOK:
+			return answer, nil
+		case status == statusBad:
+			return nil, errors.New(string(answer))
+		case status == statusUnknown:
+			last, next = fmt.Errorf("%s: %s", v.Name, answer), at
+		default:
+			last = fmt.Errorf("%w; %s does not lead", errNoLeader, v.Name)
+			for i, o := range n.c.Voters {
+				if o.Name == string(answer) {
+					next = i
+				}
+			}
+		}
+		n.mu.Lock()
+		if n.leader == at && next != at {
+			n.leader = next
+			close(n.moved)
+			n.moved = make(chan struct{})
+		}
+		n.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil, last
+		case <-time.After(againAfter):
+		}
+	}
+}
+
+// one asks one voter; this node's own without the network.
+func (n *Control) one(ctx context.Context, v Voter, kind uint64, request []byte) (uint64, []byte, error) {
+	if n.voter != nil && v.Name == n.c.Name {
+		status, answer := n.voter.handle(ctx, n.c.full(n.c.Name), kind, request)
+		return status, answer, nil
+	}
+	return n.calls.Call(ctx, n.c.full(v.Name), v.Address, kind, request)
+}
+
+// Ask hands an entry to the leader and gives its result.
+func (n *Control) Ask(ctx context.Context, e *fleetpb.Entry) (*fleetpb.Result, error) {
+	raw, err := proto.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := n.call(ctx, kindEntry, raw)
+	if err != nil {
+		return nil, err
+	}
+	r := &fleetpb.Result{}
+	return r, proto.Unmarshal(answer, r)
+}
+
+// State gives what is agreed, as the leader has it.
+func (n *Control) State(ctx context.Context) (*fleetpb.State, error) {
+	raw, err := n.call(ctx, kindState, nil)
+	if err != nil {
+		return nil, err
+	}
+	s := &fleetpb.State{}
+	return s, proto.Unmarshal(raw, s)
+}
+
+// session keeps this node's session alive.
+func (n *Control) session() {
+	for n.ctx.Err() == nil {
+		asked := time.Now()
+		ctx, cancel := context.WithTimeout(n.ctx, n.c.Life)
+		r, err := n.Ask(ctx, &fleetpb.Entry{What: &fleetpb.Entry_Open{Open: &fleetpb.OpenSession{Node: n.c.Name, Zone: n.c.Zone, Process: n.process,
+			Level: fleet.Level, Voter: n.c.Votes(), Dead: n.suspects(), Ends: n.node.Ends()}}})
+		cancel()
+		pause := n.c.Life / aliveParts
+		n.mu.Lock()
+		was := n.epoch
+		switch {
+		case err == nil && r.Code == fleetpb.Result_DONE:
+			n.epoch, n.until = r.Epoch, asked.Add(n.c.Life)
+		case err == nil:
+			n.epoch, err = 0, errors.New(r.Reason)
+			n.process, pause = rand.Text(), againAfter
+		case time.Now().After(n.until):
+			n.epoch = 0
+		}
+		now := n.epoch
+		n.mu.Unlock()
+		if now != was && n.ctx.Err() == nil {
+			if now > 0 {
+				n.log.Info("fleet: session", "epoch", now)
+			} else {
+				n.log.Warn("fleet: no session; this node serves on by its own decisions and follows what it knows", "err", err)
+			}
+		}
+		n.pause(pause)
+	}
+}
--- /dev/null
+++ b/internal/control/duties.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"starlingvalve/internal/agree"
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/fleetpb"
+)
+
+// duties are the leader's: it lets sessions lapse, tells the log what the registry says, and has time pass for those who wait.
+func (v *voter) duties(ctx context.Context, m *agree.Member) {
+	tick := time.NewTicker(v.c.Tick)
+	defer tick.Stop()
+	term, clock, looked := uint64(0), time.Now(), time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := m.Status()
+		if !s.Leads {
+			term = 0
+			continue
+		}
+		if s.Term != term { // whoever led before may have heard them just now
+			if m.Lead(ctx) != nil {
+				continue
+			}
+			term = s.Term
+			v.mu.Lock()
+			clear(v.heard)
+			clear(v.lapsing)
+			clear(v.dead)
+			v.vitals = vitals{}
+			v.mu.Unlock()
+			v.log.Info("fleet: this voter leads", "term", term)
+		}
+		var list []*fleetpb.Server
+		if time.Since(looked) >= listedEvery {
+			looked, list = time.Now(), v.listed()
+		}
+		d, err := agree.View(ctx, m, func() (d due, err error) { return v.due(time.Now(), list), nil })
+		if err != nil {
+			continue
+		}
+		if d.waits && time.Since(clock) >= clockEvery {
+			clock = time.Now()
+			d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Clock{Clock: &fleetpb.Clock{}}})
+		}
+		if !sameIDs(d.voters, s.Voters) {
+			m.Reconfigure(d.voters)
+		}
+		for _, e := range d.entries {
+			ctx, cancel := context.WithTimeout(ctx, entryWait)
+			r, err := v.propose(ctx, m, e)
+			cancel()
+			if err != nil || r.Code != fleetpb.Result_DONE {
+				v.log.Warn("fleet: the leader's own entry", "result", r, "err", err)
+				break
+			}
+		}
+	}
+}
+
+type due struct {
+	entries []*fleetpb.Entry
+	waits   bool     // somebody waits for time to pass: in the queue, or a release
+	voters  []uint64 // that are to hold the log
+}
+
+func sameIDs(a, b []uint64) bool {
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(a, b)
+}
+
+// due is what the leader has to say now. The member's goroutine calls it.
+func (v *voter) due(now time.Time, list []*fleetpb.Server) (d due) {
+	s := v.machine.State()
+	d.waits = len(s.Queue) > 0 || v.machine.Releasing()
+	for name, birth := range s.Voters {
+		d.voters = append(d.voters, voterID(name, birth))
+	}
+	if !s.BudgetsSet {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Budgets{Budgets: &fleetpb.SetBudgets{Budgets: v.c.Budgets, By: v.c.Name}}})
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, n := range s.Nodes {
+		if n.State != fleet.Live || v.lapsing[name] == n.Epoch {
+			continue
+		}
+		at, ok := v.heard[name]
+		if !ok {
+			v.heard[name] = now
+		} else if now.Sub(at) > v.c.Life {
+			v.lapsing[name] = n.Epoch
+			d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_End{End: &fleetpb.EndSession{Node: name, Epoch: n.Epoch, Lapsed: true}}})
+		}
+	}
+	if j := v.vitals.judge(s, now); j != nil {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Judged{Judged: j}})
+	}
+	if told, dead := evidence(s, v.dead); !told {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Observed{Observed: &fleetpb.Observed{Dead: dead}}})
+	}
+	if news := difference(s.Servers, list); len(news) > 0 {
+		d.entries = append(d.entries, &fleetpb.Entry{What: &fleetpb.Entry_Listed{Listed: &fleetpb.Listed{Servers: news[:min(len(news), listedMost)]}}})
+	}
+	return d
+}
+
+// Of the nodes with a session, so many have to find a server dead before it counts as out; so few, that it counts as in again.
+const (
+	deadFrom  = 0.5
+	deadUntil = 0.25
+)
+
+// evidence gives the servers that enough nodes find dead; told: that is what the state says already.
+func evidence(s *fleetpb.State, by map[string][]string) (told bool, dead []string) {
+	live, count := 0, map[string]int{}
+	for name, n := range s.Nodes {
+		if n.State == fleet.Live {
+			live++
+			for _, id := range by[name] {
+				count[id]++
+			}
+		}
+	}
+	told = true
+	for id, x := range s.Servers {
+		from := deadFrom
+		if x.Dead {
+			from = deadUntil
+		}
+		is := count[id] > 0 && float64(count[id]) >= from*float64(live)
+		told = told && is == x.Dead
+		if is {
+			dead = append(dead, id)
+		}
+	}
+	slices.Sort(dead)
+	return told, dead
+}
+
+// difference is what a list says otherwise than the state. A list that is not known, nil, says nothing.
+func difference(known map[string]*fleetpb.Server, list []*fleetpb.Server) (news []*fleetpb.Server) {
+	if list == nil {
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, s := range list {
+		seen[s.Id] = true
+		k := known[s.Id]
+		if k == nil || k.State != s.State || k.Zone != s.Zone || k.Kind != s.Kind || k.Cell != s.Cell || k.Weight != s.Weight {
+			news = append(news, s)
+		}
+	}
+	for id, k := range known {
+		if !seen[id] && k.State != fleet.Gone {
+			news = append(news, &fleetpb.Server{Id: id, State: fleet.Gone})
+		}
+	}
+	slices.SortFunc(news, func(a, b *fleetpb.Server) int { return strings.Compare(a.Id, b.Id) })
+	return news
+}
