--- a/cmd/rig/drains_test.go
+++ b/cmd/rig/drains_test.go
@@ -111,6 +111,27 @@
 	}
 }
 
+// smallPack is servers and some processes, three of them voters; all end with the test.
+func smallPack(t *testing.T, servers, members int, budgets string, zones ...string) (*pack, *fleet) {
+	t.Helper()
+	w, err := newWorkshop(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	f, err := openZones(servers, zones, 4, kampklipWork(0.2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	p, err := openPack(t.Context(), w, f.registry.Addr, members, 3, zones, budgets, &history{out: os.Stderr, began: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.close)
+	return p, f
+}
+
 // Six processes, three of them voters, under load: the leader is killed and cut off, a zone is cut off, all voters are killed, a registry
 // entry goes; operators drain through any node. All promises hold.
 func TestDrainsUnderFaults(t *testing.T) {
@@ -152,21 +173,7 @@
 // Two of three voters lose their disks, and all are started again: the fleet refuses to go on, says why, and forgets no drain; nodes
 // serve, and follow what they know.
 func TestTwoDisksLost(t *testing.T) {
-	w, err := newWorkshop(t.Context(), "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer w.Close()
-	f, err := openZones(4, []string{"a"}, 4, kampklipWork(0.2))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	p, err := openPack(t.Context(), w, f.registry.Addr, 4, 3, []string{"a"}, drainsBudget, &history{out: os.Stderr, began: time.Now()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.close()
+	p, f := smallPack(t, 4, 4, drainsBudget, "a")
 	drained := f.servers[1].Name
 	for _, args := range [][]string{{"drain", drained, "--why", "new disks"}, {"wait", drained}} {
 		if text, code := p.ask(t.Context(), p.members[3], args...); code != 0 {
@@ -221,21 +228,7 @@
 // A voter's disk is lost: the voter does not vote until it is taken in with the new one; then it counts for the majority, and one that
 // has lost nothing is not taken in anew.
 func TestVoterRenewed(t *testing.T) {
-	w, err := newWorkshop(t.Context(), "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer w.Close()
-	f, err := openZones(4, []string{"a"}, 4, kampklipWork(0.2))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	p, err := openPack(t.Context(), w, f.registry.Addr, 3, 3, []string{"a"}, drainsBudget, &history{out: os.Stderr, began: time.Now()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.close()
+	p, f := smallPack(t, 4, 3, drainsBudget, "a")
 	say := func(want int, part string, at int, args ...string) {
 		t.Helper()
 		if text, code := p.ask(t.Context(), p.members[at], args...); code != want || !strings.Contains(text, part) {
@@ -261,23 +254,8 @@
 // The fleet's other words, on real processes: a zone goes out and comes back, a held one stays, a node sends its clients away, and a
 // server that takes requests and answers none is out by the nodes' own findings.
 func TestFleetWords(t *testing.T) {
-	w, err := newWorkshop(t.Context(), "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer w.Close()
-	zones := []string{"a", "b"}
-	f, err := openZones(8, zones, 4, kampklipWork(0.2))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
 	budgets := "\n[[budget]]\nname = \"half\"\non = \"servers\"\nby = \"fleet\"\nmost_share = 0.5\n\n[[budget]]\nname = \"one\"\non = \"servers\"\nby = \"zone\"\nonly = \"b\"\nmost_out = 1\n"
-	p, err := openPack(t.Context(), w, f.registry.Addr, 4, 3, zones, budgets, &history{out: os.Stderr, began: time.Now()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.close()
+	p, f := smallPack(t, 8, 4, budgets, "a", "b")
 	loading, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	defer running.Wait()
--- a/cmd/rig/pack.go
+++ b/cmd/rig/pack.go
@@ -355,7 +355,7 @@
 func (p *pack) settled(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleWait)
 	defer cancel()
-	last := errors.New("nobody was asked")
+	var last error
 	for try := 0; ; try++ {
 		m := p.members[try%len(p.members)]
 		s, err := control.Knock(m.socket).State(ctx)
--- a/internal/agree/bolt.go
+++ b/internal/agree/bolt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 )
@@ -29,7 +30,7 @@
 // OpenBolt opens a file, or makes it.
 func OpenBolt(path string) (*Bolt, error) {
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: 2 * time.Second})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, berrors.ErrTimeout) {
 		return nil, fmt.Errorf("%s: another process has it: a node has one process, or two while it is replaced; end the other one", path)
 	}
 	if err != nil {
--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -18,7 +18,7 @@
 
 // call asks the leader, wherever it is, until ctx ends. An entry may be asked again only if it bears its number, or does no harm twice.
 func (n *Control) call(ctx context.Context, kind uint64, request []byte) ([]byte, error) {
-	last := errNoLeader
+	var last error
 	for try := 0; ; try++ {
 		n.mu.Lock()
 		at := n.leader
