A node that can't keep what it follows tells so now and then, not without end

Cause: read in review: where held.json can't be written, follow asked again at once and got the same orders at once (internal/control/follow.go, follow): 901 error lines in 3 s in TestFolderLost, a core spent on it. Change: it waits a third of a session's life; the drain stays unproven and names the node, as before. With it, no behaviour changed: one writer of whole files (internal/wholefile; supervisors' choices sync their folder too now), tomlfile.Beside for three copies, openFleet for two, standin's Verdict.Fault in place of a second one, and what a node said is let go of with its session.

--- a/cmd/rig/demo.go
+++ b/cmd/rig/demo.go
@@ -31,16 +31,23 @@
 }
 
 func newFleet(n, cores, room int, work map[string]standin.Work) (*fleet, error) {
+	return openFleet(n, work, func(i int) standin.ServerOptions {
+		return standin.ServerOptions{Name: fmt.Sprintf("s-%08x", 0x5be2a000+i*7919), Zone: "hall-a", Kind: "std", Cell: i / 2, Cores: cores, Room: room}
+	})
+}
+
+// openFleet starts servers as each is wanted. Those of a cell know the same keys.
+func openFleet(n int, work map[string]standin.Work, options func(i int) standin.ServerOptions) (*fleet, error) {
 	f := &fleet{}
 	cells := map[int]*standin.Dedup{}
 	var entries []standin.Entry
 	for i := range n {
-		cell := i / 2
-		if cells[cell] == nil {
-			cells[cell] = &standin.Dedup{Window: 8 * time.Second}
+		o := options(i)
+		if cells[o.Cell] == nil {
+			cells[o.Cell] = &standin.Dedup{Window: 8 * time.Second}
 		}
-		s, err := standin.NewServer(standin.ServerOptions{Name: fmt.Sprintf("s-%08x", 0x5be2a000+i*7919), Zone: "hall-a", Kind: "std", Cell: cell,
-			Cores: cores, Room: room, Dedup: cells[cell]}, work)
+		o.Dedup = cells[o.Cell]
+		s, err := standin.NewServer(o, work)
 		if err != nil {
 			f.Close()
 			return nil, err
--- a/cmd/rig/drains.go
+++ b/cmd/rig/drains.go
@@ -170,25 +170,11 @@
 most_out = 2
 `
 
-// openZones is a fleet of servers over zones.
+// openZones is a fleet of servers over zones, each a cell of its own.
 func openZones(n int, zones []string, cores int, work map[string]standin.Work) (*fleet, error) {
-	f := &fleet{}
-	var entries []standin.Entry
-	for i := range n {
-		s, err := standin.NewServer(standin.ServerOptions{Name: fmt.Sprintf("s-%08x", 0x7a3f1000+i*7919), Zone: zones[i%len(zones)], Kind: "std", Cell: i, Cores: cores, Room: 60,
-			Dedup: &standin.Dedup{Window: 8 * time.Second}}, work)
-		if err != nil {
-			f.Close()
-			return nil, err
-		}
-		f.servers = append(f.servers, s)
-		entries = append(entries, standin.EntryOf(s))
-	}
-	var err error
-	if f.registry, err = standin.NewRegistry(entries...); err != nil {
-		f.Close()
-	}
-	return f, err
+	return openFleet(n, work, func(i int) standin.ServerOptions {
+		return standin.ServerOptions{Name: fmt.Sprintf("s-%08x", 0x7a3f1000+i*7919), Zone: zones[i%len(zones)], Kind: "std", Cell: i, Cores: cores, Room: 60}
+	})
 }
 
 // drainsRig has operators take servers out and back through any of a fleet's nodes, with load all through, while nodes are killed and
--- a/cmd/rig/drains_test.go
+++ b/cmd/rig/drains_test.go
@@ -251,6 +251,32 @@
 	say(0, "voter n3 taken in with a new disk", 1, "history")
 }
 
+// A node whose folder can't be written keeps to what it hears, says seldom what is wrong, and acknowledges nothing: the drain is not proven, and
+// names it, until the folder is back.
+func TestFolderLost(t *testing.T) {
+	p, f := smallPack(t, 4, 4, drainsBudget, "a")
+	m := p.members[3]
+	if err := os.RemoveAll(m.folder); err != nil {
+		t.Fatal(err)
+	}
+	drained := f.servers[0].Name
+	if text, code := p.ask(t.Context(), p.members[0], "drain", drained); code != 0 {
+		t.Fatal(text)
+	}
+	if text, code := p.ask(t.Context(), p.members[0], "wait", drained, "--timeout", "3s"); code != 5 || !strings.Contains(text, "unheard with a session: n4;") {
+		t.Errorf("exit code %d, %s", code, text)
+	}
+	if n := strings.Count(strings.Join(m.logs(), ""), "can't be kept"); n < 1 || n > 10 {
+		t.Errorf("told %d times within 3 s", n)
+	}
+	if err := os.Mkdir(m.folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if text, code := p.ask(t.Context(), p.members[0], "wait", drained); code != 0 {
+		t.Errorf("exit code %d, %s", code, text)
+	}
+}
+
 // The fleet's other words, on real processes: a zone goes out and comes back, a held one stays, a node sends its clients away, and a
 // server that takes requests and answers none is out by the nodes' own findings.
 func TestFleetWords(t *testing.T) {
--- a/cmd/rig/drainscheck.go
+++ b/cmd/rig/drainscheck.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"math/bits"
 	"regexp"
 	"slices"
@@ -14,13 +13,6 @@
 	"starlingvalve/internal/standin"
 )
 
-// fault notes a break of a promise.
-func broken(v *standin.Verdict, format string, args ...any) {
-	if v.Count++; len(v.Broken) < 10 {
-		v.Broken = append(v.Broken, fmt.Sprintf(format, args...))
-	}
-}
-
 // goneIn tells whether a server, or with no name any, had gone by itself at some moment of a time.
 func goneIn(gone []goneTime, server string, from, to time.Time) bool {
 	return slices.ContainsFunc(gone, func(g goneTime) bool { return (server == "" || g.server == server) && g.touches(from, to) })
@@ -48,7 +40,7 @@
 		n := 0
 		for _, e := range list {
 			if n += e.step; n > d.most {
-				broken(&v, "%s: %d at once at %s, with %s: %v", zone, n, e.at.Format(time.StampMilli), e.name, out)
+				v.Fault("%s: %d at once at %s, with %s: %v", zone, n, e.at.Format(time.StampMilli), e.name, out)
 			}
 			out[e.name] += e.step
 		}
@@ -67,7 +59,7 @@
 	for _, x := range executions {
 		for _, s := range spans[x.Server] {
 			if x.Got.After(s.from) && x.Got.Before(s.to) {
-				broken(&v, "%s got %s %v after the proof", x.Server, x.ID, x.Got.Sub(s.from))
+				v.Fault("%s got %s %v after the proof", x.Server, x.ID, x.Got.Sub(s.from))
 			}
 		}
 	}
@@ -132,7 +124,7 @@
 		node, _, _ := strings.Cut(x.ID, "-")
 		for _, s := range spans[node+" "+x.Server] {
 			if x.Got.After(s.from.Add(standin.DrainGrace)) && x.Got.Before(s.to) {
-				broken(&v, "%s got %s of %s %v after the node heard", x.Server, x.ID, node, x.Got.Sub(s.from))
+				v.Fault("%s got %s of %s %v after the node heard", x.Server, x.ID, node, x.Got.Sub(s.from))
 			}
 		}
 	}
@@ -144,7 +136,7 @@
 	v := standin.Verdict{Promise: "every ask has an answer that makes sense"}
 	for _, a := range d.asks {
 		if v.Seen++; a.code == askOdd {
-			broken(&v, "op%d, %s, return %v: %s", a.operator, a.server, a.giveBack, a.reason)
+			v.Fault("op%d, %s, return %v: %s", a.operator, a.server, a.giveBack, a.reason)
 		}
 	}
 	return v
@@ -227,9 +219,9 @@
 	for zone, list := range ops {
 		switch porcupine.CheckOperationsTimeout(model, list, time.Minute) {
 		case porcupine.Illegal:
-			broken(&v, "%s: no order of its %d asks explains the answers", zone, len(list))
+			v.Fault("%s: no order of its %d asks explains the answers", zone, len(list))
 		case porcupine.Unknown:
-			broken(&v, "%s: no verdict on its %d asks within a minute", zone, len(list))
+			v.Fault("%s: no verdict on its %d asks within a minute", zone, len(list))
 		}
 	}
 	return v
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"time"
@@ -99,12 +98,7 @@
 		return nil, err
 	}
 	fault := tomlfile.Faults(path, raw)
-	beside := func(name string) string {
-		if filepath.IsAbs(name) {
-			return name
-		}
-		return filepath.Join(filepath.Dir(path), name)
-	}
+	beside := tomlfile.Beside(path)
 	n := f.Node
 	c := &Config{Path: path, Name: n.Name, Domain: n.Domain, Zone: n.Zone, Folder: beside(n.Folder), Socket: beside(n.Socket),
 		Life: time.Duration(f.Timing.SessionMs) * time.Millisecond, Tick: time.Duration(f.Timing.TickMs) * time.Millisecond}
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -73,6 +73,14 @@
 	voters  []uint64 // that are to hold the log
 }
 
+// forget lets go of what a node said whose session is over.
+func (v *voter) forget(name string) {
+	delete(v.heard, name)
+	delete(v.lapsing, name)
+	delete(v.dead, name)
+	delete(v.vitals.nodes, name)
+}
+
 func sameIDs(a, b []uint64) bool {
 	a, b = slices.Clone(a), slices.Clone(b)
 	slices.Sort(a)
@@ -93,7 +101,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for name, n := range s.Nodes {
-		if n.State != fleet.Live || v.lapsing[name] == n.Epoch {
+		if n.State != fleet.Live {
+			v.forget(name)
+			continue
+		}
+		if v.lapsing[name] == n.Epoch {
 			continue
 		}
 		at, ok := v.heard[name]
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"maps"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -18,6 +15,7 @@
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/fleetpb"
 	"starlingvalve/internal/member/registry"
+	"starlingvalve/internal/wholefile"
 )
 
 // held is what this node follows, on its disk: a process that starts follows it before it serves.
@@ -29,13 +27,7 @@
 
 // kept reads what was followed at last.
 func (n *Control) kept() (h held, err error) {
-	raw, err := os.ReadFile(filepath.Join(n.c.Folder, heldFile))
-	if errors.Is(err, os.ErrNotExist) {
-		return held{}, nil
-	}
-	if err == nil {
-		err = json.Unmarshal(raw, &h)
-	}
+	err = wholefile.ReadJSON(filepath.Join(n.c.Folder, heldFile), &h)
 	if err != nil {
 		return held{}, err
 	}
@@ -92,6 +84,7 @@
 		n.log.Info("fleet: follows", "version", now.Version, "out", strings.Join(slices.Sorted(maps.Keys(now.Out)), ","))
 		if err := n.keep(now); err != nil {
 			n.log.Error("fleet: what this node follows can't be kept; it acknowledges nothing", "err", err)
+			n.pause(n.c.Life / aliveParts) // the same orders come again at once
 			continue
 		}
 		n.mu.Lock()
@@ -151,28 +144,7 @@
 
 // keep writes what is followed, whole or not at all, before it is acknowledged.
 func (n *Control) keep(h held) error {
-	raw, err := json.Marshal(h)
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(n.c.Folder, heldFile)
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, newestFiles)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(raw)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	dir, err := os.Open(n.c.Folder)
-	if err != nil {
-		return err
-	}
-	defer dir.Close()
-	return dir.Sync()
+	return wholefile.WriteJSON(filepath.Join(n.c.Folder, heldFile), h)
 }
 
 // Replaced tells whether another process serves beside this one, to replace it. What this one has stopped says nothing of the other
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"regexp"
 	"time"
 
@@ -105,12 +104,7 @@
 	if !(c.SpareShare >= 0 && c.SpareShare <= 1) {
 		return nil, fault("limits.spare_share", "want 0 to 1, have %v", c.SpareShare)
 	}
-	beside := func(name string) string {
-		if filepath.IsAbs(name) {
-			return name
-		}
-		return filepath.Join(filepath.Dir(path), name)
-	}
+	beside := tomlfile.Beside(path)
 	if c.Identity.Certificate, err = tls.LoadX509KeyPair(beside(f.Site.Certificate), beside(f.Site.Key)); err != nil {
 		return nil, fault("site.certificate", "%v", err)
 	}
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -40,7 +40,8 @@
 	Seen    int      // cases that the logs hold: a promise with none was not tested
 }
 
-func (v *Verdict) fault(format string, args ...any) {
+// Fault notes a case that broke the promise.
+func (v *Verdict) Fault(format string, args ...any) {
 	if v.Count++; len(v.Broken) < 10 {
 		v.Broken = append(v.Broken, fmt.Sprintf(format, args...))
 	}
@@ -85,15 +86,15 @@
 		v.Seen++
 		switch {
 		case seen[a.ID]:
-			v.fault("%s: two answers", a.ID)
+			v.Fault("%s: two answers", a.ID)
 		case !a.Resent.IsZero() && !had[a.ID].IsZero() && had[a.ID].Before(a.Resent):
-			v.fault("%s %s: lost, though a server had it %v before it was sent once more", a.Class, a.ID, a.Resent.Sub(had[a.ID]))
+			v.Fault("%s %s: lost, though a server had it %v before it was sent once more", a.Class, a.ID, a.Resent.Sub(had[a.ID]))
 		case a.Status == 0:
-			v.fault("%s %s: none, %s after %v", a.Class, a.ID, a.Fault, a.At.Sub(a.Sent))
+			v.Fault("%s %s: none, %s after %v", a.Class, a.ID, a.Fault, a.At.Sub(a.Sent))
 		case a.At.After(a.Deadline.Add(AnswerSlack)):
-			v.fault("%s %s: %v past the deadline", a.Class, a.ID, a.At.Sub(a.Deadline))
+			v.Fault("%s %s: %v past the deadline", a.Class, a.ID, a.At.Sub(a.Deadline))
 		case a.Fault != "" && a.Status != 200:
-			v.fault("%s %s: %s", a.Class, a.ID, a.Fault)
+			v.Fault("%s %s: %s", a.Class, a.ID, a.Fault)
 		}
 		seen[a.ID] = true
 	}
@@ -116,9 +117,9 @@
 		v.Seen++
 		switch {
 		case a.Fault != "":
-			v.fault("%s: %s", a.ID, a.Fault)
+			v.Fault("%s: %s", a.ID, a.Fault)
 		case !ran[a.First]:
-			v.fault("%s: %q, which no server made", a.ID, a.First)
+			v.Fault("%s: %q, which no server made", a.ID, a.First)
 		}
 	}
 	return v
@@ -137,7 +138,7 @@
 		if runs[name]++; runs[name] == 1 {
 			v.Seen++
 		} else {
-			v.fault("%s: %d times, the last as %s at %s", name, runs[name], x.ID, x.Server)
+			v.Fault("%s: %d times, the last as %s at %s", name, runs[name], x.ID, x.Server)
 		}
 	}
 	return v
@@ -156,7 +157,7 @@
 		if c := classes[a.Class]; a.Refused() && c.Unsafe() {
 			v.Seen++
 			if s := ran[a.ID]; s != "" {
-				v.fault("%s %s: refused, but %s has run it", a.Class, a.ID, s)
+				v.Fault("%s %s: refused, but %s has run it", a.Class, a.ID, s)
 			}
 		}
 	}
@@ -184,7 +185,7 @@
 	for _, x := range e.Executions {
 		for _, s := range off[x.Server] {
 			if x.Got.After(s.from.Add(DrainGrace)) && (s.to.IsZero() || x.Got.Before(s.to)) {
-				v.fault("%s got %s %v after the node was told", x.Server, x.ID, x.Got.Sub(s.from))
+				v.Fault("%s got %s %v after the node was told", x.Server, x.ID, x.Got.Sub(s.from))
 			}
 		}
 	}
@@ -212,7 +213,7 @@
 			}
 			part := min(1, c.From+(1-c.From)*x.Got.Sub(c.Started).Seconds()/c.Time.Seconds())
 			if can := PushFactor * part * float64(c.Cores) * PushWindow.Seconds(); sum.Seconds() > can {
-				v.fault("%s: %.2f s of work within %v, %v after its start; %.2f s is too much", c.Server, sum.Seconds(), PushWindow,
+				v.Fault("%s: %.2f s of work within %v, %v after its start; %.2f s is too much", c.Server, sum.Seconds(), PushWindow,
 					x.Got.Sub(c.Started).Round(time.Millisecond), can)
 				break
 			}
@@ -231,7 +232,7 @@
 	for _, x := range e.Executions {
 		v.Seen++
 		if !tries[x.ID] {
-			v.fault("%s: %s %s, which no client has sent", x.Server, x.Class, x.ID)
+			v.Fault("%s: %s %s, which no client has sent", x.Server, x.Class, x.ID)
 		}
 	}
 	return v
--- a/internal/supervise/config.go
+++ b/internal/supervise/config.go
@@ -40,12 +40,7 @@
 	}
 	fault := tomlfile.Faults(path, raw)
 	s := f.Supervise
-	beside := func(name string) string {
-		if filepath.IsAbs(name) {
-			return name
-		}
-		return filepath.Join(filepath.Dir(path), name)
-	}
+	beside := tomlfile.Beside(path)
 	if s.Folder == "" {
 		return nil, fault("supervise.folder", "is missing")
 	}
--- a/internal/supervise/programs.go
+++ b/internal/supervise/programs.go
@@ -5,13 +5,14 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
 	"regexp"
+
+	"starlingvalve/internal/wholefile"
 )
 
 // Programs is a folder of programs by the hash of their content, and which one runs.
@@ -72,32 +73,13 @@
 	return path, nil
 }
 
+func (p *Programs) chosenFile() string { return filepath.Join(p.folder, "chosen.json") }
+
 // Chosen tells which program runs; the zero value: none was chosen yet.
 func (p *Programs) Chosen() (c Chosen, err error) {
-	raw, err := os.ReadFile(filepath.Join(p.folder, "chosen.json"))
-	if errors.Is(err, os.ErrNotExist) {
-		return c, nil
-	}
-	if err == nil {
-		err = json.Unmarshal(raw, &c)
-	}
+	err = wholefile.ReadJSON(p.chosenFile(), &c)
 	return c, err
 }
 
 // Choose notes it, whole or not at all.
-func (p *Programs) Choose(c Chosen) error {
-	raw, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(p.folder, "chosen.json")
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(raw)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
-	}
-	return os.Rename(path+".new", path)
-}
+func (p *Programs) Choose(c Chosen) error { return wholefile.WriteJSON(p.chosenFile(), c) }
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"path/filepath"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -49,6 +50,16 @@
 	}
 }
 
+// Beside gives the paths that a file names: relative ones are relative to its folder.
+func Beside(path string) func(name string) string {
+	return func(name string) string {
+		if filepath.IsAbs(name) {
+			return name
+		}
+		return filepath.Join(filepath.Dir(path), name)
+	}
+}
+
 func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
 
 // keyLines gives the line of each key of a well-formed file, "peer[0].name" for those of arrays, and of each table.
