--- a/internal/fleet/release_test.go
+++ b/internal/fleet/release_test.go
@@ -152,24 +152,25 @@
 	for name, c := range map[string]struct {
 		bad   func(node, version string) string
 		state string
-		most  int // nodes that met the version
+		most  int    // nodes that met the version
+		cause string // in the history
 	}{
-		"good": {func(string, string) string { return "" }, Done, 24},
+		"good": {func(string, string) string { return "" }, Done, 24, "all waves are ready"},
 		"crashes at start": {func(_, v string) string {
 			return map[string]string{yardNew: "crashes"}[v]
-		}, TurnedBack, 1},
+		}, TurnedBack, 1, "2 crashes of version v-new, 1 at most"},
 		"never ready": {func(_, v string) string {
 			return map[string]string{yardNew: "never"}[v]
-		}, TurnedBack, 1},
+		}, TurnedBack, 1, "wave 1 is not ready within 30000 ms"},
 		"crashes once it is ready": {func(_, v string) string {
 			return map[string]string{yardNew: "crashes later"}[v]
-		}, TurnedBack, 1},
+		}, TurnedBack, 1, "2 crashes of version v-new, 1 at most"},
 		"crashes at one node of the third wave": {func(n, v string) string {
 			return map[string]string{yardNew + " n04": "crashes"}[v+" "+n]
-		}, TurnedBack, 7},
+		}, TurnedBack, 7, "wave 3: halted, before running: 2 crashes of version v-new"},
 		"nothing starts any more": {func(n, v string) string {
 			return map[string]string{yardNew + " n00": "crashes", yardOld + " n00": "crashes"}[v+" "+n]
-		}, Failed, 1},
+		}, Failed, 1, "2 crashes of version v-old on the way back"},
 	} {
 		for seed := range uint64(20) {
 			y := newYard(t, seed, 24, 2, c.bad)
@@ -180,6 +181,9 @@
 			if len(y.touched) > c.most || y.worst > y.most {
 				t.Errorf("%s, seed %d: %d nodes met the version, %d at most; %d down at once, %d at most\n%s", name, seed, len(y.touched), c.most, y.worst, y.most, y.history())
 			}
+			if !strings.Contains(y.history(), c.cause) {
+				t.Errorf("%s, seed %d: the history does not tell %q:\n%s", name, seed, c.cause, y.history())
+			}
 			want := map[string]int{Done: 0, TurnedBack: 24, Failed: 23}[c.state]
 			if n := y.has(yardOld); n != want {
 				t.Errorf("%s, seed %d: %d nodes have the version before, want %d\n%s", name, seed, n, want, y.history())
