A watch that falls silent is begun anew at once; a pushed list's agent is asked within the grace

Cause: Registry.Watch ended at silence, 1 s after the wait was over, and the module asks again only after firstAsk, which grows with the fleet (1.6 s, by chance 2.4, at 40 nodes; up to 12 at 300): 3.4 s after the wait, where 2 are given. That wait is for calls that discovery turned away, not for a silence. Where lists are pushed, what the agent has counts as told at once, and Registry.Follow paused up to 7.5 s after failures, gave a silent call 3 s and a silent watch up to 21 s. Change: a silent call of a watch is followed at once by a new one, from the version that it had. Toward an agent the waits follow from DrainGrace: a watch of half, its silence noticed after three quarters, a pause of an eighth. Of a watch that lasts, an older answer ends it; where versions have begun anew, the whole list is asked for.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -169,7 +169,7 @@
 	a.add(part{run: func(ctx context.Context) {
 		if elsewhere {
 			log.Info("discovery: the predecessor's list is from elsewhere; the whole list is asked for", "at", c.Discovery)
-			a.loop.Move(registry.New(c.Discovery, c.Settings.Nodes, log))
+			a.loop.Move(registry.New(c.Discovery, c.Settings, log))
 		}
 		follow(ctx, c, a.loop, a.gate, &a.takeover.source, reload, log)
 	}})
@@ -195,7 +195,7 @@
 	settings.TellShort = a.gate != nil
 	a.figures = stats.New(classNames(settings))
 	var err error
-	a.loop, err = core.New(ctx, core.Options{Remote: a.gate.remote(), Settings: settings, Seed: c.Seed, Transport: a.transport, Members: registry.New(c.Discovery, settings.Nodes, log),
+	a.loop, err = core.New(ctx, core.Options{Remote: a.gate.remote(), Settings: settings, Seed: c.Seed, Transport: a.transport, Members: registry.New(c.Discovery, settings, log),
 		Messenger: messenger, Figures: a.figures, Learned: learned, Log: log})
 	if err != nil {
 		return err
@@ -349,7 +349,7 @@
 			at = next.Discovery
 			source.Store(new(at))
 			log.Info("discovery moves", "to", at)
-			loop.Move(registry.New(at, c.Settings.Nodes, log))
+			loop.Move(registry.New(at, c.Settings, log))
 		}
 	}
 }
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -32,8 +32,6 @@
 	dialWait    = time.Second
 	watchSlack  = time.Second // a watch that is on has its turn: an answer later than this is none
 	agentPause  = 50 * time.Millisecond
-	retryFirst  = 200 * time.Millisecond
-	retryLast   = 5 * time.Second
 	latestStart = 1 << 43 // ms; a later one would not fit the module's clock
 	registryURL = "/registry/instances"
 )
@@ -93,15 +91,31 @@
 // discovery asks for the list of backends, at one address. Its calls go out on connections of its own.
 type Registry struct {
 	addr   netip.AddrPort
-	wait   time.Duration // for news, in one call of a watch
+	asked  pacing // where one service is asked by all
+	pushed pacing // where an agent of the node's own is
 	client *http.Client
 	log    *slog.Logger
 }
 
-// New makes the membership of one of so many nodes that all ask the registry at addr.
-func New(addr netip.AddrPort, nodes int, log *slog.Logger) *Registry {
-	return &Registry{addr: addr, log: log, wait: min(max(watchLeast, time.Duration(nodes)*watchEach), watchMost), client: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialWait}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
+// pacing is how patient calls are.
+type pacing struct {
+	wait  time.Duration // for news, in one call of a watch
+	slack time.Duration // for its answer beyond that
+	first time.Duration // for an answer that does not wait for news
+	pause time.Duration // after a call that has failed
+}
+
+// New makes the membership of a node by its settings, from the registry, or the agent, at addr. What an agent has counts as told at once: an agent
+// that has come back from silence, or a watch of it that has fallen silent, has to be noticed well within the grace that drains are given. It
+// costs nobody anything, so it is asked so often.
+func New(addr netip.AddrPort, s decide.Settings, log *slog.Logger) *Registry {
+	grace := func(part time.Duration, least, most time.Duration) time.Duration {
+		return min(max(s.DrainGrace/part, least), most)
+	}
+	return &Registry{addr: addr, log: log, asked: pacing{wait: min(max(watchLeast, time.Duration(s.Nodes)*watchEach), watchMost), slack: watchSlack, first: callSlack},
+		pushed: pacing{wait: grace(2, 25*time.Millisecond, watchLeast), slack: grace(4, 25*time.Millisecond, watchSlack), first: grace(2, 50*time.Millisecond, watchSlack),
+			pause: grace(8, 10*time.Millisecond, watchSlack/5)},
+		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialWait}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
 }
 
 func (d *Registry) call(ctx context.Context, query string, limit time.Duration) (core.List, error) {
@@ -127,30 +141,37 @@
 }
 
 // Fetch asks for the whole list once.
-func (d *Registry) Fetch(ctx context.Context) (core.List, error) {
-	l, err := d.call(ctx, "", callSlack)
+func (d *Registry) Fetch(ctx context.Context) (core.List, error) { return d.fetch(ctx, callSlack) }
+
+func (d *Registry) fetch(ctx context.Context, limit time.Duration) (core.List, error) {
+	l, err := d.call(ctx, "", limit)
 	if err == nil && !l.Full {
 		return core.List{}, errors.New("list: want the whole")
 	}
 	return l, err
 }
 
+// errOlder ends a watch whose answer is of a time before what it has told already: a server that drains by now may be ready in it.
+var errOlder = errors.New("list: older than what this watch has told")
+
 // Watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
-// fails. With no version to begin at, it begins with the whole list.
+// fails. With no version to begin at, it begins with the whole list. One that has fallen silent is broken, and is begun anew at once: what it
+// missed counts as told soon.
 func (d *Registry) Watch(ctx context.Context, since *uint64, news func(core.List)) error {
+	return d.watch(ctx, since, d.asked, news)
+}
+
+func (d *Registry) watch(ctx context.Context, since *uint64, p pacing, news func(core.List)) error {
 	var version uint64
-	wait, slack := firstWait, callSlack
-	for first := true; ; first = false {
+	for first := true; ; {
 		asked := time.Now()
-		var l core.List
-		var err error
-		if first && since == nil {
-			l, err = d.Fetch(ctx)
-		} else {
-			if first {
-				version = *since
-			}
-			l, err = d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", version, wait.Milliseconds()), wait+slack)
+		l, err := d.next(ctx, since, version, first, p)
+		if !first && silent(err) && ctx.Err() == nil {
+			d.log.Info("discovery: the watch has fallen silent; it is begun anew", "since", version)
+			d.Close() // what is kept to it may be silent too
+			since = new(version)
+			first = true
+			l, err = d.next(ctx, since, version, first, p)
 		}
 		if err != nil {
 			return err
@@ -165,21 +186,47 @@
 			case <-time.After(agentPause):
 			}
 		}
-		version, wait, slack = l.Version, d.wait, watchSlack
+		version, first = l.Version, false
 	}
 }
 
+// next makes one call of a watch. The versions of a discovery that has been away may have begun anew: then a list of changes since one of the old ones
+// means nothing, and the whole is asked for. While a watch lasts they only rise.
+func (d *Registry) next(ctx context.Context, since *uint64, version uint64, first bool, p pacing) (core.List, error) {
+	if first && since == nil {
+		return d.fetch(ctx, p.first)
+	}
+	wait, limit := p.wait, p.wait+p.slack
+	if first {
+		version, wait, limit = *since, firstWait, firstWait+p.first
+	}
+	l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", version, wait.Milliseconds()), limit)
+	switch {
+	case err != nil || l.Version >= version:
+		return l, err
+	case !first:
+		return core.List{}, errOlder
+	case !l.Full:
+		return d.fetch(ctx, p.first)
+	}
+	return l, nil
+}
+
+// silent tells whether a call has ended because nothing came.
+func silent(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Follow keeps a watch where lists are pushed and so nobody asks for one.
 func (d *Registry) Follow(ctx context.Context, since *uint64, news func(core.List)) {
-	retry := retryFirst
 	for ctx.Err() == nil {
-		err := d.Watch(ctx, since, func(l core.List) { since, retry = &l.Version, retryFirst; news(l) })
+		err := d.watch(ctx, since, d.pushed, func(l core.List) { since = &l.Version; news(l) })
 		d.log.Debug("watch ended", "err", err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(float64(retry) * (0.5 + rand.Float64()))):
+		case <-time.After(time.Duration(float64(d.pushed.pause) * (0.5 + 0.5*rand.Float64()))):
 		}
-		retry = min(2*retry, retryLast)
 	}
 }
 
--- a/internal/member/registry/registry_test.go
+++ b/internal/member/registry/registry_test.go
@@ -44,7 +44,7 @@
 			}
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
-		d := New(netip.MustParseAddrPort(service.Listener.Addr().String()), nodes, slog.New(slog.DiscardHandler))
+		d := New(netip.MustParseAddrPort(service.Listener.Addr().String()), decide.Settings{Nodes: nodes}, slog.New(slog.DiscardHandler))
 		if err := d.Watch(context.Background(), nil, func(core.List) {}); err == nil || errors.Is(err, context.Canceled) {
 			t.Errorf("%d nodes: %v; want the service's refusal", nodes, err)
 		}
