What ends settles what it owes: clients that leave, drains, evictions, answers without end

Cause, each found by reading and shown by a test that failed without its mend (text in brackets): - net/http watches for a client's leaving by one byte behind the open request; with that byte it watches no more [TestLeftBehindMore: "its attempt goes on"]. clientConn.read now goes on reading ahead, within bounds. - An attempt that may not be called off wrote its request once a late handshake was done, for a client long gone [TestLeftDuringHandshake: "the request of the client that left came to the server"]. Exchange.Wanted ends with the request: nothing that has not begun to be written is written. To send nothing cancels nothing. - A request whose client had left before it was taken up was sent; Handler.Gone and Loop.Do look first. - An answer of unknown length that is passed on was waited for 8 s a piece [TestAnswerWithoutEnd: "ended after 8.4 s", "20.0 s" of a time of 1.5 s]. Up to 64 KiB it ends with its request; a long one has a least pace. - What was open at SIGTERM with a time beyond SIGKILL had no answer [TestEndWithAllOpen: "0 unexpected EOF, want 502", "ended after 2.9 s, killed after 1.7 s"]. The front waits for its connections itself, and ends answers that don't move. - An evicted connection was closed with its request whole in the kernel, and what was read of it dropped. Eviction ends the reading: what has come is read and, if whole, refused. A fetched list older than the watch's is no news.

--- a/decide/api.go
+++ b/decide/api.go
@@ -264,6 +264,8 @@
 	}
 	// RequestAbandoned says that the client is gone; nothing is owed.
 	RequestAbandoned struct{ ID RequestID }
+	// Ending says that the node ends: each open request gets its final answer now.
+	Ending struct{}
 	// ProbeEnded is the result of a Probe.
 	ProbeEnded struct {
 		Server  ServerID
@@ -286,6 +288,7 @@
 func (BodyEnded) event()        {}
 func (StreamStarted) event()    {}
 func (RequestAbandoned) event() {}
+func (Ending) event()           {}
 func (ProbeEnded) event()       {}
 func (MessageReceived) event()  {}
 func (TimerFired) event()       {}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -130,6 +130,12 @@
 		if r := m.requests[e.ID]; r != nil && !r.done {
 			m.close(r)
 		}
+	case Ending:
+		for _, r := range m.open {
+			if !r.done && !r.started {
+				m.finish(r, ByNode)
+			}
+		}
 	case MessageReceived:
 		m.heard(e)
 	case ProbeEnded:
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -45,6 +45,9 @@
 // State is the connection's.
 func (c *Conn) State() State { return c.state }
 
+// Last is when something last came on it, or its state was entered.
+func (c *Conn) Last() time.Duration { return c.last }
+
 // Room is all of a node's client connections. It is not safe for concurrent use. Times are readings of the caller's clock, which does not go back.
 type Room struct {
 	limit int
@@ -109,6 +112,16 @@
 	return nil
 }
 
+// All gives every connection.
+func (r *Room) All() (out []*Conn) {
+	for s := range states {
+		for e := r.by[s].Front(); e != nil; e = e.Next() {
+			out = append(out, e.Value.(*Conn))
+		}
+	}
+	return out
+}
+
 // Unused gives the connections on which no request is open.
 func (r *Room) Unused() (out []*Conn) {
 	for s := range Busy {
--- /dev/null
+++ b/internal/app/endings_test.go
@@ -0,0 +1,487 @@
+package app
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/testkit"
+)
+
+// What ends a thing owes what is still due of it: docs/design/endings.md lists each such path, and the test here, or beside its package, that forces it.
+
+// unlike are settings that have little in common: effects change places, deadlines are short and long, attempts can be called off or not.
+var unlike = map[string]func(*decide.Settings){
+	"as they are": func(*decide.Settings) {},
+	"no cancelling, one attempt, effects swapped": func(s *decide.Settings) {
+		s.MayCancel, s.MayOverlap, s.MaxAttempts, s.AskForList = false, false, 1, true
+		s.Classes[0].Name, s.Classes[2].Name = "order", "read"
+	},
+	"short deadlines, keyed by all, pushed": func(s *decide.Settings) {
+		s.MayCancel, s.MaxAttempts = false, 2
+		for i := range s.Classes {
+			s.Classes[i].Deadline, s.Classes[i].Aim, s.Classes[i].DedupWindow = 150*time.Millisecond, 100*time.Millisecond, 300*time.Millisecond
+			s.Classes[i].KeyScope = decide.ScopeAll
+		}
+	},
+	"long deadlines, another name": func(s *decide.Settings) {
+		s.Classes[0].Deadline, s.Classes[0].Name = 8*time.Second, "order"
+		s.Classes[2].Name, s.Classes[1].Effect = "booking", decide.Unsafe
+	},
+}
+
+// underAll runs a test under each of them.
+func underAll(t *testing.T, f func(t *testing.T, s decide.Settings)) {
+	t.Parallel()
+	for name, change := range unlike {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := testkit.Settings()
+			change(&s)
+			f(t, s)
+		})
+	}
+}
+
+// request is one of a class as its effect wants it, with an id of its own.
+func request(c decide.Class, id, left string) string {
+	method, key := "POST", ""
+	switch c.Effect {
+	case decide.Safe:
+		method = "GET"
+	case decide.Keyed:
+		key = "Idempotency-Key: " + id + "\r\n"
+	}
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: %s\r\n%sX-Time-Left: %s\r\nContent-Length: 0\r\n\r\n", method, c.Name, id, key, left)
+}
+
+// client is a connection to a node.
+type client struct {
+	*net.TCPConn
+	r *bufio.Reader
+}
+
+func (n *testNode) dial(t *testing.T) client {
+	t.Helper()
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testkit.Patient))
+	return client{c.(*net.TCPConn), bufio.NewReader(c)}
+}
+
+func (c client) answer(t *testing.T) (status int, body string, err error) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
+
+// leave ends a client's connection in one of the ways that clients have.
+var leave = map[string]func(client){
+	"its direction ends": func(c client) { c.CloseWrite() },
+	"it closes":          func(c client) { c.Close() },
+	"it resets":          func(c client) { c.SetLinger(0); c.Close() },
+}
+
+// holding is a server that notes what comes and answers what it is told to: a request of the class held is kept until its connection ends.
+type holding struct {
+	addr  string
+	came  chan string // ids
+	ended chan string // ids of those whose connections have ended
+	mu    sync.Mutex
+	held  map[string]bool // ids that are held
+}
+
+func newHolding(t *testing.T, held ...string) *holding {
+	h := &holding{came: make(chan string, 999), ended: make(chan string, 999), held: map[string]bool{}}
+	for _, id := range held {
+		h.held[id] = true
+	}
+	h.addr = testkit.Server(t, h.serve)
+	return h
+}
+
+func (h *holding) serve(c net.Conn) {
+	for r := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		id := req.Header.Get("X-Correlation-Id")
+		h.came <- id
+		h.mu.Lock()
+		held := h.held[id]
+		h.mu.Unlock()
+		if held {
+			r.ReadByte()
+			h.ended <- id
+			return
+		}
+		io.WriteString(c, testkit.OK(id))
+	}
+}
+
+// queued is a listener whose queue is full: connections come up late, once it is let go.
+func queued(t *testing.T) (addr string, letGo func(serve func(net.Conn))) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	filler, err := net.Dial("tcp", addr) // a queue of none holds one
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open sync.WaitGroup
+	t.Cleanup(func() {
+		filler.Close()
+		syscall.Shutdown(fd, syscall.SHUT_RDWR)
+		open.Wait()
+		syscall.Close(fd)
+	})
+	return addr, func(serve func(net.Conn)) {
+		open.Go(func() {
+			for {
+				n, _, err := syscall.Accept4(fd, syscall.SOCK_CLOEXEC)
+				if err != nil {
+					return
+				}
+				f := os.NewFile(uintptr(n), "conn")
+				c, err := net.FileConn(f)
+				f.Close()
+				if err != nil {
+					continue
+				}
+				t.Cleanup(func() { c.Close() })
+				open.Go(func() { serve(c); c.Close() })
+			}
+		})
+	}
+}
+
+// A client that leaves while its attempt waits for a connection has nothing sent on for it, whether the settings allow cancelling or not. Without cancelling,
+// the attempt wrote its request once its handshake was done: the first id came to the server, with nobody to answer.
+func TestLeftDuringHandshake(t *testing.T) {
+	underAll(t, func(t *testing.T, s decide.Settings) {
+		addr, letGo := queued(t)
+		n := start(t, &Config{Settings: s, Known: testkit.Known(addr)})
+		n.waitReady(t, 200)
+		first := n.dial(t)
+		io.WriteString(first, request(s.Classes[0], "left", "9"))
+		if status, _, err := n.dial(t).ping(t); status != 200 || err != nil { // what came before has been read
+			t.Fatal(status, err)
+		}
+		second := n.dial(t) // its handshake is begun after the other's
+		io.WriteString(second, request(s.Classes[0], "stays", "9"))
+		first.Close()
+		server := newHolding(t)
+		letGo(server.serve)
+		if status, body, err := second.answer(t); err != nil || status == 200 && body != "stays" {
+			t.Errorf("%d %q %v", status, body, err)
+		}
+		n.stop()
+		<-n.ended
+		for len(server.came) > 0 {
+			if id := <-server.came; id == "left" {
+				t.Error("the request of the client that left came to the server")
+			}
+		}
+	})
+}
+
+// ping asks for the node's health, so that what it was sent before has been taken up.
+func (c client) ping(t *testing.T) (int, string, error) {
+	io.WriteString(c, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
+	return c.answer(t)
+}
+
+// A client that leaves is noticed whatever it has sent behind the request that is open, and nothing of that is sent on. net/http reads one byte behind a request
+// and watches no more once it has that: the attempt went on to its end, and what was behind it was served to nobody.
+func TestLeftBehindMore(t *testing.T) {
+	t.Parallel()
+	s := testkit.Settings()
+	more := ""
+	for i := range 120 { // beyond net/http's buffer of 4 KB
+		more += request(s.Classes[0], fmt.Sprint("behind", i), "9")
+	}
+	for how, end := range leave {
+		for what, behind := range map[string]string{"nothing": "", "a byte": "G", "a request": request(s.Classes[0], "behind", "9"), "many": more, "stray bytes": "\r\n\x00\r\n"} {
+			for _, class := range []int{0, 2} {
+				t.Run(fmt.Sprint(how, " after ", what, " ", class), func(t *testing.T) {
+					t.Parallel()
+					server := newHolding(t, "first")
+					n := start(t, &Config{Settings: s, Known: testkit.Known(server.addr)})
+					n.waitReady(t, 200)
+					c := n.dial(t)
+					io.WriteString(c, request(s.Classes[class], "first", "9"))
+					if id := <-server.came; id != "first" {
+						t.Fatal(id)
+					}
+					io.WriteString(c, behind)
+					end(c)
+					select {
+					case <-server.ended:
+					case <-time.After(testkit.Patient / 4): // its patience is longer
+						t.Fatal("its attempt goes on")
+					}
+					n.stop()
+					<-n.ended
+					if len(server.came) > 0 {
+						t.Errorf("%s came to the server after its client had left", <-server.came)
+					}
+				})
+			}
+		}
+	}
+}
+
+// A second request behind one that is open is answered once that one is, in whatever pieces they came, also beyond what is read ahead.
+func TestBehindIsServed(t *testing.T) {
+	t.Parallel()
+	s := testkit.Settings()
+	s.MaxOpen = 1000
+	release := make(chan struct{})
+	addr := testkit.Server(t, testkit.Answering(func(r *http.Request, _ []byte) string {
+		if r.Header.Get("X-Correlation-Id") == "first" {
+			<-release
+		}
+		return testkit.OK(r.Header.Get("X-Correlation-Id"))
+	}))
+	n := start(t, &Config{Settings: s, Known: testkit.Known(addr)})
+	c := n.dial(t)
+	const behind = 700 // some 75 KB
+	text := ""
+	for i := range behind {
+		text += request(s.Classes[0], fmt.Sprint("behind", i), "9")
+	}
+	io.WriteString(c, request(s.Classes[0], "first", "9"))
+	go func() {
+		io.WriteString(c, text[:1])
+		io.WriteString(c, text[1:50000])
+		close(release)
+		io.WriteString(c, text[50000:])
+	}()
+	for i := -1; i < behind; i++ {
+		want := "first"
+		if i >= 0 {
+			want = fmt.Sprint("behind", i)
+		}
+		if status, body, err := c.answer(t); status != 200 || body != want || err != nil {
+			t.Fatalf("answer %d: %d %q %v", i, status, body, err)
+		}
+	}
+}
+
+// An answer that is passed on as it comes, and is no long one, ends with its request's time, so that its client can tell that it is not whole: one that
+// stops, and one that trickles for ever. It was waited for 8 s a piece.
+func TestAnswerWithoutEnd(t *testing.T) {
+	t.Parallel()
+	for _, frame := range []string{"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "Connection: close\r\n\r\nhello"} {
+		for name, more := range map[string]string{"stops": "", "trickles": "1\r\nx\r\n"} {
+			t.Run(name+frame[:3], func(t *testing.T) {
+				t.Parallel()
+				addr := testkit.Server(t, func(c net.Conn) {
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+						return
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\n"+frame)
+					for {
+						time.Sleep(20 * time.Millisecond) // its pace
+						if _, err := io.WriteString(c, more); err != nil {
+							return
+						}
+						if more == "" {
+							io.Copy(io.Discard, c)
+							return
+						}
+					}
+				})
+				n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+				n.waitReady(t, 200)
+				c := n.dial(t)
+				began := time.Now()
+				io.WriteString(c, message("order", "1.5", ""))
+				status, body, err := c.answer(t)
+				if took := time.Since(began); took < time.Second || took > 5*time.Second {
+					t.Errorf("ended after %v", took)
+				}
+				if status == 200 && err == nil {
+					t.Errorf("a whole answer %q", body)
+				}
+			})
+		}
+	}
+}
+
+// After SIGTERM all that was taken is answered before the node may be killed, whatever its own time, and the exit comes then: a hung server under it, a client that takes
+// nothing, a head that is half there, a long answer that has stopped.
+func TestEndWithAllOpen(t *testing.T) {
+	underAll(t, func(t *testing.T, s decide.Settings) {
+		for i := range s.Classes { // the clients' patience is longer than all of them
+			s.Classes[i].Deadline = min(s.Classes[i].Deadline, time.Second)
+		}
+		server := newHolding(t, "0", "1", "2")
+		c := &Config{Settings: s, Known: testkit.Known(server.addr)}
+		n := start(t, c)
+		n.waitReady(t, 200)
+		var open []client
+		for i, class := range s.Classes {
+			open = append(open, n.dial(t))
+			io.WriteString(open[i], request(class, fmt.Sprint(i), "60"))
+			<-server.came
+		}
+		began := time.Now()
+		n.stop()
+		for i, class := range s.Classes {
+			status, _, err := open[i].answer(t)
+			want := http.StatusBadGateway
+			if class.Effect == decide.Safe || class.Effect == decide.Keyed && class.KeyScope == decide.ScopeAll {
+				want = http.StatusServiceUnavailable // to try again does no harm
+			}
+			if status != want || err != nil {
+				t.Errorf("%s: %d %v, want %d", class.Name, status, err, want)
+			}
+		}
+		<-n.ended
+		if took, kill := time.Since(began), c.drainTime()+killMargin; took > kill+time.Second { // a busy machine's second
+			t.Errorf("ended after %v, killed after %v", took, kill)
+		}
+	})
+}
+
+// The end comes with a head half there on a connection that was used before: once it is whole, it is answered. net/http's Shutdown closed such a connection at once.
+func TestEndWithinHead(t *testing.T) {
+	t.Parallel()
+	s := testkit.Settings()
+	for i := range s.Classes {
+		s.Classes[i].Deadline = time.Second
+	}
+	server := newHolding(t, "held")
+	n := start(t, &Config{Settings: s, Known: testkit.Known(server.addr)})
+	n.waitReady(t, 200)
+	half, quiet, held := n.dial(t), n.dial(t), n.dial(t)
+	for _, c := range []client{half, quiet} {
+		if status, _, err := c.ping(t); status != 200 || err != nil {
+			t.Fatal(status, err)
+		}
+	}
+	io.WriteString(held, request(s.Classes[0], "held", "9")) // the drain goes on to its end
+	<-server.came
+	n.stop()
+	text := request(s.Classes[0], "half", "9")
+	// It is written a byte at a time, until the quiet connection is closed: that is the last call.
+	last := make(chan error, 1)
+	go func() {
+		_, err := quiet.r.ReadByte()
+		last <- err
+	}()
+	sent := 0
+	for waiting := true; waiting; {
+		select {
+		case <-last:
+			waiting = false
+		case <-time.After(50 * time.Millisecond):
+			if sent < len(text)-20 {
+				io.WriteString(half, text[sent:sent+1])
+				sent++
+			}
+		}
+	}
+	io.WriteString(half, text[sent:])
+	if status, _, err := half.answer(t); status != 503 || err != nil {
+		t.Errorf("%d, %v; want a refusal", status, err)
+	}
+}
+
+// Twenty restarts under load, on connections that clients keep: each request that was written whole gets one whole answer, or its connection was closed unread; no unsafe one
+// runs twice.
+func TestTwentyRestarts(t *testing.T) {
+	t.Parallel()
+	s := testkit.Settings()
+	for i := range s.Classes {
+		s.Classes[i].Deadline, s.Classes[i].Aim = 150*time.Millisecond, 100*time.Millisecond
+	}
+	var mu sync.Mutex
+	ran, answered := map[string]int{}, map[string]int{}
+	addr := testkit.Server(t, testkit.Answering(func(r *http.Request, _ []byte) string {
+		mu.Lock()
+		defer mu.Unlock()
+		ran[r.Header.Get("X-Correlation-Id")]++
+		return testkit.OK("x")
+	}))
+	var rounds sync.WaitGroup
+	for round := range 20 {
+		rounds.Go(func() {
+			n := start(t, &Config{Settings: s, Known: testkit.Known(addr)})
+			n.waitReady(t, 200)
+			var clients sync.WaitGroup
+			busy := make(chan bool, 99999)
+			for k := range 6 {
+				clients.Go(func() {
+					c := n.dial(t)
+					for i := 0; ; i++ {
+						id := fmt.Sprintf("%d-%d-%d", round, k, i)
+						if _, err := io.WriteString(c, request(s.Classes[2], id, "9")); err != nil {
+							return // closed between requests
+						}
+						status, _, err := c.answer(t)
+						mu.Lock()
+						if err == nil {
+							answered[id] = status
+						} else if ran[id] > 0 {
+							t.Errorf("%s has run, and its client has no answer: %v", id, err)
+						}
+						mu.Unlock()
+						if err != nil {
+							return
+						}
+						busy <- true
+					}
+				})
+			}
+			for range 30 {
+				<-busy
+			}
+			n.stop()
+			<-n.ended
+			clients.Wait()
+		})
+	}
+	rounds.Wait()
+	served := 0
+	for id, status := range answered {
+		if ran[id] > 1 || status == 200 && ran[id] != 1 || status == 503 && ran[id] != 0 {
+			t.Errorf("%s answered %d, ran %d times", id, status, ran[id])
+		}
+		if status == 200 {
+			served++
+		}
+	}
+	if served < 20*30 {
+		t.Errorf("%d served in all", served)
+	}
+}
--- a/internal/core/do.go
+++ b/internal/core/do.go
@@ -12,6 +12,9 @@
 // overdue after the request's deadline whatever happens. ctx is the client: if it ends first the request is given up
 // and ok is false; there is nobody to answer. An answer's Rest, if it has one, is the caller's to close.
 func (l *Loop) Do(ctx context.Context, r *Request) (a Answer, ok bool) {
+	if ctx.Err() != nil {
+		return Answer{}, false // its client had left before it was taken up
+	}
 	r.answer, r.arriving = make(chan Answer, 1), true
 	if r.Upload != nil {
 		r.runs = make(chan func(), max(1, l.settings.MaxAttempts))
@@ -49,7 +52,9 @@
 		l.post(func() { l.abandon(r) })
 		select {
 		case last := <-r.answer: // it came in this moment; none comes from now on
-			if last.Rest != nil {
+			if ok {
+				a = last
+			} else if last.Rest != nil {
 				last.Rest.Close()
 			}
 		default:
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -52,3 +52,6 @@
 	to.WriteString("\r\n\r\n")
 	to.Write(x.Body)
 }
+
+// Unwanted tells whether the request of an exchange is over: what has not begun to be written is not written any more.
+func (x *Exchange) Unwanted() bool { return x.Wanted != nil && x.Wanted.Err() != nil }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -30,6 +30,7 @@
 	cancel   context.CancelFunc
 	neverRan bool // and has ended
 	server   decide.ServerID
+	streams  bool // its answer is being passed on: the front ends it
 	ended    bool
 }
 
@@ -58,6 +59,8 @@
 
 	mu        sync.Mutex // over all that follows, and the module
 	ended     bool
+	ending    bool        // what was open has been answered, and nothing more is sent
+	endBy     *time.Timer // for that; nil: not told
 	alarm     *time.Timer // for the first of timers
 	requests  map[decide.RequestID]*Request
 	timers    timerHeap
@@ -69,6 +72,7 @@
 	version   *uint64                   // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
+	heard     int  // lists and changes that have been told
 }
 
 // Options are what a loop is made of. All but Log are needed; a nil Messenger carries nothing.
@@ -162,6 +166,7 @@
 	defer l.lag.close()
 	defer l.work.Wait()
 	defer l.alarm.Stop()
+	defer l.EndBy(time.Time{})
 	l.mu.Lock()
 	known.Full = true
 	l.follow(known, decide.ListCached)
@@ -253,12 +258,15 @@
 	case decide.Subscribe:
 		l.subscribe(a.On)
 	case decide.FetchList:
-		d := l.members
+		d, heard := l.members, l.heard
 		l.work.Go(func() {
 			n, err := d.Fetch(l.ctx)
 			l.post(func() {
-				if d != l.members {
+				switch {
+				case d != l.members:
 					n, err = List{}, errors.New("discovery has moved")
+				case err == nil && heard != l.heard && l.version != nil && n.Version < *l.version:
+					return // the watch has told newer news since
 				}
 				l.told(n, err)
 			})
@@ -281,6 +289,7 @@
 		r.window = c.DedupWindow
 	}
 	l.requests[r.Arrived.ID] = r
+	r.wanted, r.end = context.WithCancel(l.ctx)
 	r.Arrived.Patience, r.Arrived.Uploading = time.Until(r.Deadline), r.Upload != nil
 	l.handle(r.Arrived)
 	r.arriving = false
@@ -290,7 +299,7 @@
 // the same id coming again would be a second copy.
 func (l *Loop) cross(id decide.RequestID, refusal Answer) bool {
 	r := l.requests[id]
-	if l.remote == nil || r == nil || r.over || r.abroad != nil || r.Upload != nil {
+	if l.remote == nil || l.ending || r == nil || r.over || r.abroad != nil || r.Upload != nil {
 		return false
 	}
 	ran := r.out > 0
@@ -340,6 +349,38 @@
 	}
 }
 
+// EndBy has what is open at a time answered then: the node may be killed soon after. What is out is called off, whatever the settings
+// say: its connection would break with the process. A zero time takes that back.
+func (l *Loop) EndBy(end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.endBy != nil {
+		l.endBy.Stop()
+		l.endBy = nil
+	}
+	if !end.IsZero() && !l.ended {
+		l.endBy = time.AfterFunc(time.Until(end), func() { l.post(l.endAll) })
+	}
+}
+
+func (l *Loop) endAll() {
+	if l.ending {
+		return
+	}
+	l.ending = true
+	l.handle(decide.Ending{})
+	for _, r := range l.requests {
+		if r.abroad != nil {
+			r.abroad()
+		}
+		for _, t := range r.attempts {
+			if !t.ended && !t.streams {
+				t.cancel()
+			}
+		}
+	}
+}
+
 func (l *Loop) finish(id decide.RequestID, a Answer) {
 	if r := l.requests[id]; r != nil && !r.over {
 		r.answer <- a
@@ -347,9 +388,10 @@
 	}
 }
 
-// close marks a request as over and forgets it once its attempts are in.
+// close marks a request as over: nothing more is sent for it. It is forgotten once its attempts are in.
 func (l *Loop) close(r *Request) {
 	r.over = true
+	r.end()
 	if r.out == 0 {
 		delete(l.requests, r.Arrived.ID)
 	}
@@ -367,11 +409,11 @@
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, t)
 	r.out++
-	if r.over || n >= max(1, l.settings.MaxAttempts) || !now.Before(r.Deadline) {
+	if r.over || l.ending || n >= max(1, l.settings.MaxAttempts) || !now.Before(r.Deadline) {
 		l.over(a, n, Result{Code: decide.Moot})
 		return
 	}
-	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline, Written: l.figures.Sent}
+	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline, Whole: r.Deadline, Wanted: r.wanted, Written: l.figures.Sent}
 	if a.Timeout != 0 && now.Add(a.Timeout).Before(r.Deadline) {
 		x.Deadline = now.Add(a.Timeout)
 	}
@@ -433,8 +475,8 @@
 	if res.Err != nil {
 		l.log.Debug("attempt", "id", a.ID, "server", a.Server, "code", res.Code, "err", res.Err)
 	}
-	if r.over && r.out == 0 {
-		delete(l.requests, a.ID)
+	if r.over {
+		l.close(r)
 	}
 	elapsed := time.Since(t.sent)
 	l.handle(decide.AttemptEnded{ID: a.ID, Attempt: n, Server: a.Server, Over: r.over, Elapsed: elapsed, Own: t.own(res.At, l.lag.value(), elapsed),
@@ -455,7 +497,8 @@
 // stream gives the client the beginning of an answer. The attempt is out until the rest has passed.
 func (l *Loop) stream(r *Request, t *attempt, a decide.Send, n int, res Result) {
 	elapsed := time.Since(t.sent)
-	r.over = true
+	t.streams = true
+	l.close(r) // but for this attempt, which is out until its answer has passed
 	r.answer <- Answer{Status: http.StatusOK, Header: res.Header, Body: res.Body, Length: res.Length, Work: elapsed,
 		Rest: &passing{Rest: res.Rest, end: func(code decide.OutcomeCode) {
 			t.cancel()
@@ -584,6 +627,7 @@
 }
 
 func (l *Loop) news(n List) {
+	l.heard++
 	kind := decide.ListChanges
 	if n.Full {
 		kind = decide.ListFull
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -113,9 +113,13 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time // the node waits no longer
+	Whole    time.Time // an answer of 64 KiB at most that is passed on as it comes has come whole by then; zero: Deadline
 	WriteBy  time.Time // if set, nothing is written from then on
-	Written  func()    // if set, told once the last byte has been written
-	Upload   *Upload   // what comes after Body; nil: nothing
+	// Wanted, if set, ends with the request. From then on nothing is sent for it that has not begun to be: that calls off nothing, and is
+	// no matter of the settings.
+	Wanted  context.Context
+	Written func()  // if set, told once the last byte has been written
+	Upload  *Upload // what comes after Body; nil: nothing
 }
 
 // Upload is what of a client's body a front has not read yet. Attempts of its request run one after another, in the goroutine
@@ -180,6 +184,8 @@
 	attempt  func()      // that attempt
 	runs     chan func() // attempts with an upload
 	over     bool
+	wanted   context.Context // ends once it is over
+	end      func()
 	out      int
 	attempts []*attempt
 	window   time.Duration      // for keyed ones: how long servers remember the key
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -35,8 +35,10 @@
 
 // Handler serves the requests of a front: checks each, hands it to the loop, writes its answer.
 type Handler struct {
-	// Lost, if set, tells whether a request's connection was closed while the request was on its way: it is dropped.
+	// Lost, if set, tells whether a request's connection was ended to make room while the request was on its way: it is refused.
 	Lost func(*http.Request) bool
+	// Gone, if set, tells whether a request's client has left already: nothing is begun for it.
+	Gone func(*http.Request) bool
 	// Doubtful, if set, tells whether a request's end can be read in two ways: it has both a length and a transfer coding. It is asked once for
 	// each request, in their order on a connection.
 	Doubtful func(*http.Request) bool
@@ -88,7 +90,10 @@
 }
 
 // Drain has the node called not ready, and each request answered by end.
-func (f *Handler) Drain(end time.Time) { f.drainEnd.Store(&end) }
+func (f *Handler) Drain(end time.Time) {
+	f.drainEnd.Store(&end)
+	f.loop.EndBy(end)
+}
 
 // Leave has clients sent to a new connection with their next answer, or no more.
 func (f *Handler) Leave(on bool) { f.leaving.Store(on) }
@@ -168,11 +173,12 @@
 		f.Figures.Taken(1)
 		defer f.Figures.Taken(-1)
 	}
-	if f.Lost != nil && f.Lost(r) {
-		panic(http.ErrAbortHandler)
+	if f.Gone != nil && f.Gone(r) {
+		reject(w, http.StatusBadRequest, "the client has closed") // or its own direction only
+		return
 	}
 	defer f.open.Add(-1)
-	if f.open.Add(1) > f.maxOpen || f.closing.Load() {
+	if f.open.Add(1) > f.maxOpen || f.closing.Load() || f.Lost != nil && f.Lost(r) {
 		answer(core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
 		return
 	}
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -2,21 +2,28 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"starlingvalve/internal/admit"
+	"starlingvalve/internal/front"
 	"starlingvalve/internal/pause"
 )
 
 const (
 	refuseWait = 100 * time.Millisecond // for the request of a connection that is refused, and to write the refusal
 	refuseMost = 8                      // connections that wait for that; more are refused at once, whatever they may say
+	aheadMost  = 64 << 10               // bytes of one connection that are read ahead of its requests, to see whether its client has left;
+	aheadRoom  = 2 << 20                // and of all: a client that sends more is noticed when it has been served so far
+	lateWait   = 200 * time.Millisecond // after its deadline what came in time is still read: the process may have been kept from it so long
+	lateMost   = headerLimit + front.BodyLimit
 	refusal    = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -27,6 +34,8 @@
 	gate    pause.Gate   // shut: no connection is accepted
 	refused func(string) // told the class of a request that is refused at the door
 	turning atomic.Int64 // connections that are being refused
+	ahead   atomic.Int64 // bytes that are read ahead
+	open    atomic.Int64 // connections that are not closed, evicted ones too
 	ends    sync.WaitGroup
 
 	began time.Time // the zero of room's clock
@@ -44,6 +53,15 @@
 	admit.Conn
 	scan    scan
 	evicted bool
+	serving bool         // net/http has a request's head whole, and has not ended it
+	readBy  time.Time    // the deadline of its reading; zero: none
+	late    int          // bytes that have been taken at that deadline
+	wrote   atomic.Int64 // when something was last written, on the owner's clock, in ns
+	sent    atomic.Int64 // bytes, of the answer to the request that is open
+
+	// Of the one goroutine that reads.
+	ahead    []byte       // has come behind a request that is open
+	reserved atomic.Int64 // of the owner's room for such bytes
 }
 
 func newAdmission(l *net.TCPListener, limit int) *admission {
@@ -85,23 +103,28 @@
 			return nil
 		}
 		old := victim.Owner.(*clientConn)
-		if victim.State() != admit.Writing && old.waiting() { // what it has sent is not read yet
+		if old.waiting() { // what it has sent is not read yet
 			a.room.Set(victim, admit.Writing, a.now())
 			continue
 		}
-		a.room.Leave(victim)
-		old.evicted = true
-		a.mu.Unlock()
-		old.Close()
-		a.mu.Lock()
+		a.evict(old)
 	}
 	defer a.mu.Unlock()
+	a.open.Add(1)
 	c := &clientConn{TCPConn: tcp, owner: a}
 	c.Owner = c
 	a.room.Enter(&c.Conn, a.now())
 	return c
 }
 
+// evict ends a connection on which no request is open. What comes in this moment may be the last byte of one: so it is the reading that ends, and
+// what has come by then is read, and answered if it is a whole request. It is called under the lock.
+func (a *admission) evict(c *clientConn) {
+	a.room.Leave(&c.Conn)
+	c.evicted, c.readBy, c.late = true, time.Now(), 0
+	c.TCPConn.SetReadDeadline(c.readBy)
+}
+
 // refuse answers the request of a connection for which there is no room. It waits a moment for it, to count it.
 func (a *admission) refuse(tcp *net.TCPConn) {
 	defer tcp.Close()
@@ -189,30 +212,57 @@
 	return a.room.Crowded()
 }
 
-// closeRest closes the connections on which no request is open, but for those that have something to be read.
+// closeRest ends the connections on which no request is open, but for those that have something to be read, or whose head is coming.
 func (a *admission) closeRest() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, c := range a.room.Unused() {
-		if old := c.Owner.(*clientConn); !old.waiting() {
-			a.room.Leave(c)
-			old.evicted = true
-			defer old.Close() // not under the lock
+		old := c.Owner.(*clientConn)
+		if c.State() == admit.Writing && a.now()-c.Last() < admit.StallLeast {
+			continue
+		}
+		if !old.waiting() {
+			a.evict(old)
+		}
+	}
+}
+
+// closeStalled ends the connections whose answers have begun and do not move, and those on which no request is open.
+func (a *admission) closeStalled() {
+	var stalled []*clientConn
+	a.mu.Lock()
+	for _, c := range a.room.All() {
+		old := c.Owner.(*clientConn)
+		least := drainStall
+		if old.sent.Load() > front.BodyLimit {
+			least = longStall
+		}
+		if c.State() != admit.Busy {
+			a.evict(old)
+		} else if old.sent.Load() > 0 && a.now()-time.Duration(old.wrote.Load()) > least {
+			stalled = append(stalled, old)
 		}
 	}
 	a.mu.Unlock()
+	for _, c := range stalled {
+		c.Close()
+	}
 }
 
 // track follows what the server does with a connection. That a request is open shows where its head is read: net/http calls a connection
 // active with the first byte.
 func (a *admission) track(conn net.Conn, state http.ConnState) {
-	if state != http.StateIdle {
+	if state != http.StateIdle && state != http.StateActive {
 		return
 	}
 	c := conn.(*clientConn)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch { // of the next request some may have come with the last one
+	c.serving = state == http.StateActive
+	switch {
+	case c.serving: // of the next request some may have come with the last one
 	case len(c.scan.doubts) > 0:
+		a.busy(c)
 	case c.scan.head > 0:
 		a.room.Set(&c.Conn, admit.Writing, a.now())
 	default:
@@ -223,17 +273,28 @@
 // waiting tells whether something has come that nobody has read.
 func (c *clientConn) waiting() bool { return peek(c.TCPConn, make([]byte, 1)) > 0 }
 
-// lost tells whether the connection was closed to make room while a request was on its way. Nothing may be sent on for it.
+// lost tells whether the connection was ended to make room while a request was on its way. Nothing is sent on for it: it is refused.
 func (c *clientConn) lost() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	return c.evicted
 }
 
+// SetReadDeadline leaves a connection that has been evicted at its end.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.evicted {
+		return nil
+	}
+	c.readBy, c.late = t, 0
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // Read follows what comes.
 func (c *clientConn) Read(p []byte) (int, error) {
 	for {
-		n, err := c.TCPConn.Read(p)
+		n, err := c.read(p)
 		kept := c.follow(p[:n])
 		if kept > 0 || n == 0 || err != nil {
 			return kept, err
@@ -241,21 +302,145 @@
 	}
 }
 
+// read reads into p. net/http watches for its client's leaving by reading one byte behind the request that is open. With that byte it would watch no
+// more, and what comes behind it hides the end: so such a read goes on, until the client has left or net/http ends it, and what it brings is kept
+// for the next one.
+func (c *clientConn) read(p []byte) (int, error) {
+	if len(p) == 1 && c.watched() {
+		var first [1]byte
+		more := first[:] // nothing is set aside for those who send one request at a time
+		if c.ahead != nil {
+			more = c.space()
+		}
+		for ; len(more) > 0; more = c.space() {
+			n, err := c.TCPConn.Read(more)
+			switch {
+			case err != nil:
+				if !errors.Is(err, os.ErrDeadlineExceeded) { // it has left: none of its requests is wanted any more
+					c.letGo()
+				}
+				return 0, err
+			case c.ahead == nil:
+				if c.space() == nil {
+					p[0] = first[0]
+					return n, nil
+				}
+				c.ahead = append(c.ahead, first[0])
+			default:
+				c.ahead = c.ahead[:len(c.ahead)+n]
+			}
+		}
+	}
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.letGo()
+		}
+		return n, nil
+	}
+	n, err := c.TCPConn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n := c.take(p); n > 0 {
+			return n, nil
+		}
+	}
+	return n, err
+}
+
+// watched tells whether a read of one byte is net/http's watch for the client's leaving: a request is open, and all of it has been read.
+func (c *clientConn) watched() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.serving && !c.evicted && c.scan.state == scanHead
+}
+
+// space is where what comes ahead is read to; nil: there is no room for more.
+func (c *clientConn) space() []byte {
+	if len(c.ahead) == cap(c.ahead) {
+		more := min(max(len(c.ahead), 512), aheadMost-int(c.reserved.Load()))
+		if more <= 0 {
+			return nil
+		}
+		if c.owner.ahead.Add(int64(more)) > aheadRoom {
+			c.owner.ahead.Add(-int64(more))
+			return nil
+		}
+		c.reserved.Add(int64(more))
+		c.ahead = append(make([]byte, 0, len(c.ahead)+more), c.ahead...)
+	}
+	return c.ahead[len(c.ahead):cap(c.ahead)]
+}
+
+func (c *clientConn) letGo() {
+	c.owner.ahead.Add(-c.reserved.Swap(0))
+	c.ahead = nil
+}
+
+// take gives what had come when the deadline of the reading was over: a read would not look. It may be the last byte of a request, which is then
+// taken. What comes later than lateWait is not looked for, nor more than a request's worth.
+func (c *clientConn) take(p []byte) (n int) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.readBy.IsZero() || time.Since(c.readBy) > lateWait || c.late >= lateMost {
+		return 0
+	}
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+	})
+	n = max(0, n)
+	c.late += n
+	return n
+}
+
+// Write notes that an answer moves.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if n > 0 {
+		c.sent.Add(int64(n))
+		c.wrote.Store(int64(c.owner.now()))
+	}
+	return n, err
+}
+
+// gone tells whether the client has left: its end is all that there is to be read.
+func (c *clientConn) gone() (gone bool) {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return gone
+}
+
 func (c *clientConn) follow(p []byte) int {
 	a := c.owner
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	kept := c.scan.feed(p)
 	if c.State() != admit.Busy && kept > 0 {
-		state := admit.Writing
 		if len(c.scan.doubts) > 0 {
-			state = admit.Busy
+			a.busy(c)
+		} else {
+			a.room.Set(&c.Conn, admit.Writing, a.now())
 		}
-		a.room.Set(&c.Conn, state, a.now())
 	}
 	return kept
 }
 
+// busy notes that a request is open, of whose answer nothing has been written. It is called under the lock.
+func (a *admission) busy(c *clientConn) {
+	c.sent.Store(0)
+	a.room.Set(&c.Conn, admit.Busy, a.now())
+}
+
 func (c *clientConn) doubtful() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
@@ -265,7 +450,9 @@
 func (c *clientConn) Close() error {
 	err := net.ErrClosed
 	c.once.Do(func() {
+		defer c.owner.open.Add(-1)
 		err = c.TCPConn.Close()
+		c.owner.ahead.Add(-c.reserved.Swap(0))
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
 		c.owner.room.Leave(&c.Conn)
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -23,7 +22,11 @@
 	drainAccept = 600 * time.Millisecond
 	lastCall    = 300 * time.Millisecond // before the end no more requests are taken
 	drainLook   = 20 * time.Millisecond
-	drainSlack  = 700 * time.Millisecond // beyond the longest deadline: what was taken before the drain may end so late
+	// After the end an answer that has not moved for drainStall is ended, within what is left before SIGKILL. A long one may be of a slow peer:
+	// it is lost after 2 s in any case.
+	drainStall = 100 * time.Millisecond
+	longStall  = 2 * time.Second
+	drainSlack = 700 * time.Millisecond // beyond the longest deadline: what was taken before the drain may end so late
 )
 
 // Front is a core.Front on one listener.
@@ -40,6 +43,7 @@
 func New(tcp *net.TCPListener, conns int, h *front.Handler, log *slog.Logger) *Front {
 	f := &Front{handler: h, door: newAdmission(tcp, conns), log: log}
 	h.Lost = func(r *http.Request) bool { return r.Context().Value(connKey{}).(*clientConn).lost() }
+	h.Gone = func(r *http.Request) bool { return r.Context().Value(connKey{}).(*clientConn).gone() }
 	h.Crowded = f.door.crowded
 	f.door.refused = func(class string) { h.Figures.End(class, http.StatusServiceUnavailable) }
 	h.Doubtful = func(r *http.Request) bool { return r.Context().Value(connKey{}).(*clientConn).doubtful() }
@@ -83,9 +87,18 @@
 	}
 	f.handler.LastCall()
 	f.door.closeRest()
-	ctx, cancel := context.WithTimeout(context.Background(), f.handler.Longest()+drainSlack)
-	defer cancel()
-	if err := f.server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		f.log.Warn("drained with requests held", "err", err)
+	// Each answer is now the last on its connection. What the loop has at the end is answered then. Answers that are on their way may go on for
+	// as long as they move: nothing is owed to a client that takes none of its own, or while its server gives none of it. net/http's Shutdown is
+	// not asked: it closes a connection whose next head is being read.
+	for until := time.Now().Add(f.handler.Longest() + drainSlack); f.door.open.Load() > 0; time.Sleep(drainLook) {
+		f.door.closeRest() // also what has become idle since
+		now := time.Now()
+		if now.After(until) {
+			f.log.Warn("drained with connections held", "connections", f.door.open.Load())
+			return
+		}
+		if now.Sub(end) > drainStall {
+			f.door.closeStalled()
+		}
 	}
 }
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -359,6 +359,9 @@
 
 func (h *handed) do(ctx context.Context) (core.Answer, cross.Outcome) {
 	deadline := h.r.Deadline.Add(-answerMargin)
+	if ctx.Err() != nil {
+		return core.Answer{}, cross.Unseen // its client left before anything was handed to QUIC
+	}
 	st, err := h.on.conn.OpenStream()
 	if err != nil {
 		return core.Answer{}, cross.Unseen // nothing was handed to QUIC
--- a/internal/upstream/http1/answer.go
+++ b/internal/upstream/http1/answer.go
@@ -20,6 +20,7 @@
 	pieceSize = 16 << 10 // one stream's buffer,
 	smallSize = 2 << 10  // or so much once the budget is spent: no stream waits for another's
 	stallWait = 8 * time.Second
+	leastPace = 8 << 10 // bytes a second, of a long answer over all the time that it is waited for: an eighth of the slowest good peer's
 
 	// An answer of unknown length is held until it has bodyLimit, or so much has come in heldMost, or nothing more for startWait.
 	heldMost  = time.Second
@@ -52,11 +53,13 @@
 	keep    bool  // the connection can take another request: known once it is whole
 
 	// As a Rest.
-	ctx    context.Context
-	room   *atomic.Int64 // bytes of the node's budget that are free
-	err    error         // of the server's side
-	broken bool          // the other side would take no more
-	end    func(error, bool) decide.OutcomeCode
+	ctx     context.Context
+	wholeBy time.Time     // unless it turns out to be long
+	waited  time.Duration // for its server, since it is passed on
+	room    *atomic.Int64 // bytes of the node's budget that are free
+	err     error         // of the server's side
+	broken  bool          // the other side would take no more
+	end     func(error, bool) decide.OutcomeCode
 }
 
 func newAnswer(c *conn, resp *http.Response) (*answer, error) {
@@ -183,6 +186,17 @@
 	}
 }
 
+// patience is until when the next piece may come. An answer is timed by its last byte while it has bodyLimit at most: it ends with its
+// request. A longer one may take longer, as long as it comes at leastPace but for stallWait: one that only trickles would hold its client, and
+// the node's end, for ever. What a slow client takes is not its server's time.
+func (a *answer) patience(now time.Time) time.Time {
+	until := now.Add(min(stallWait, stallWait+time.Duration(float64(a.taken)/leastPace*float64(time.Second))-a.waited))
+	if a.taken <= bodyLimit && a.wholeBy.Before(until) {
+		until = a.wholeBy
+	}
+	return until
+}
+
 // Copy is core.Rest's.
 func (a *answer) Copy(write func([]byte) error) error {
 	size := int64(pieceSize)
@@ -194,12 +208,14 @@
 	defer a.room.Add(size)
 	piece := make([]byte, size)
 	for a.err == nil && !a.broken {
-		a.c.SetDeadline(time.Now().Add(stallWait))
+		now := time.Now()
+		a.c.SetDeadline(a.patience(now))
 		if a.ctx.Err() != nil { // which sets a deadline too
 			a.err = a.ctx.Err()
 			break
 		}
 		n, err := a.read(piece)
+		a.waited += time.Since(now)
 		if a.whole {
 			if err := a.checked(); err != nil {
 				a.err = err
--- a/internal/upstream/http1/backend.go
+++ b/internal/upstream/http1/backend.go
@@ -35,9 +35,15 @@
 	sweepEvery = time.Second
 	idlePart   = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
 	probeWait  = 500 * time.Millisecond
-	restLeast  = 3 * time.Millisecond // what comes right behind an answer has come by then
-	dialPart   = 8                    // one backend's share of all connections that may be in the making
-	loadLimit  = 1e6                  // more than any figure of a load report can be
+
+	// A server may send a second answer some milliseconds behind the first, which the next request on the connection would get as its own: 4 ms were
+	// seen, the network's part in them, and nothing bounds it. A connection rests for restWait, after which what has come shows. Where a server's
+	// answers come so fast that restMost of its connections rest at once, more of them would be no better: there restLeast has to do.
+	restWait  = 20 * time.Millisecond
+	restLeast = 5 * time.Millisecond
+	restMost  = 4
+	dialPart  = 8   // one backend's share of all connections that may be in the making
+	loadLimit = 1e6 // more than any figure of a load report can be
 )
 
 // Transport holds the connections to all Transport. Each carries one request at a time; the most recently used
@@ -294,19 +300,24 @@
 var (
 	errTooMany = errors.New("too many connections")
 	errClosed  = errors.New("the backend drains or is gone")
+	// errUnwanted: the request was over before anything of it was written.
+	errUnwanted = errors.New("nobody waits for it any more")
 )
 
 // connect takes an idle connection or makes one. errTooMany is the node's own shortage.
-func (b *Transport) connect(ctx context.Context, h *host, deadline time.Time) (*conn, error) {
+func (b *Transport) connect(ctx context.Context, h *host, x *core.Exchange) (*conn, error) {
 	b.mu.Lock()
 	if h.closed {
 		b.mu.Unlock()
 		return nil, errClosed
 	}
+	resting := 0
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c := h.idle[i]
-		if time.Since(c.since) < restLeast {
-			continue
+		if rested := time.Since(c.since); c.used && rested < restWait {
+			if resting++; rested < restLeast || resting <= restMost {
+				continue
+			}
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
 		b.take(c)
@@ -323,8 +334,13 @@
 	b.open++
 	h.dials++
 	b.mu.Unlock()
-	d := net.Dialer{Timeout: b.connectTimeout, Deadline: deadline}
-	tcp, err := d.DialContext(ctx, "tcp", h.addr)
+	d := net.Dialer{Timeout: b.connectTimeout, Deadline: x.Deadline}
+	dial, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if x.Wanted != nil {
+		defer context.AfterFunc(x.Wanted, cancel)()
+	}
+	tcp, err := d.DialContext(dial, "tcp", h.addr)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h.dials--
@@ -390,12 +406,14 @@
 		return core.Result{Code: decide.ConnectFailed, Err: errClosed}
 	}
 	began := time.Now()
-	c, err := b.connect(ctx, h, x.Deadline)
+	c, err := b.connect(ctx, h, x)
 	if err != nil {
 		switch {
 		case ctx.Err() != nil:
 			return core.Result{Code: decide.Cancelled, Err: ctx.Err()}
-		case errors.Is(err, errTooMany): // not the backend's fault
+		case x.Unwanted():
+			return core.Result{Code: decide.Moot, Err: errUnwanted}
+		case errors.Is(err, errTooMany), shortOf(err): // not the backend's fault
 			return core.Result{Code: decide.Moot, Err: err}
 		}
 		return core.Result{Code: decide.ConnectFailed, Err: err}
@@ -407,6 +425,9 @@
 	case ctx.Err() != nil:
 		b.release(h, c, true)
 		return core.Result{Code: decide.Cancelled, Err: ctx.Err()}
+	case x.Unwanted():
+		b.release(h, c, true)
+		return core.Result{Code: decide.Moot, Err: errUnwanted}
 	case b.closing(h):
 		b.release(h, c, false)
 		return core.Result{Code: decide.ConnectFailed, Err: errClosed}
@@ -420,6 +441,9 @@
 	again, age := c.used, time.Since(c.since)
 	c.used = true
 	c.SetDeadline(x.Deadline)
+	if !x.WriteBy.IsZero() && x.WriteBy.Before(x.Deadline) {
+		c.SetWriteDeadline(x.WriteBy) // the last byte too
+	}
 	c.until, c.ctx = x.Deadline, ctx
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	r, a := b.roundTrip(ctx, c, x)
@@ -453,7 +477,10 @@
 		end(&r, a != nil && a.keep)
 		return r
 	}
-	a.ctx, a.room = ctx, &b.room
+	a.ctx, a.room, a.wholeBy = ctx, &b.room, x.Deadline
+	if !x.Whole.IsZero() {
+		a.wholeBy = x.Whole
+	}
 	a.end = func(err error, keep bool) decide.OutcomeCode {
 		done := core.Result{Code: codeOf(ctx, err), Err: err}
 		end(&done, keep)
@@ -462,6 +489,16 @@
 	return r
 }
 
+// shortOf tells whether the node itself lacks what a connection takes: a descriptor, a port, memory.
+func shortOf(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // brokenOff tells whether the other side ended the connection.
 func brokenOff(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
@@ -557,6 +594,7 @@
 		}
 	}
 	x.Deadline = time.Now().Add(u.Patience)
+	x.Whole = x.Deadline
 	c.until = x.Deadline
 	c.SetDeadline(x.Deadline)
 	if ctx.Err() != nil {
