--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -177,8 +177,12 @@
 		reject(w, http.StatusBadRequest, "the client has closed") // or its own direction only
 		return
 	}
+	lost := f.Lost != nil && f.Lost(r)
+	if lost {
+		w.Header().Set("Connection", "close")
+	}
 	defer f.open.Add(-1)
-	if f.open.Add(1) > f.maxOpen || f.closing.Load() || f.Lost != nil && f.Lost(r) {
+	if f.open.Add(1) > f.maxOpen || f.closing.Load() || lost {
 		answer(core.Answer{Status: http.StatusServiceUnavailable, HoldOff: busyHoldOff, Reason: decide.ByNode})
 		return
 	}
--- /dev/null
+++ b/internal/front/http1/endings_test.go
@@ -0,0 +1,160 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/admit"
+	"starlingvalve/internal/front"
+	"starlingvalve/internal/testkit"
+)
+
+// come waits until something has come on a connection that nobody has read.
+func (c *clientConn) come(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(testkit.Patient); !c.waiting(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("nothing has come")
+		}
+	}
+}
+
+const head = "GET /read HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// read is what net/http would get of a connection until its reading ends.
+func readAll(c *clientConn) (text string, err error) {
+	var p [4096]byte
+	for err == nil {
+		var n int
+		n, err = c.Read(p[:])
+		text += string(p[:n])
+	}
+	return text, err
+}
+
+// A connection whose reading has to end, as it is evicted, has turned idle too long, its head's time is over, or the node takes no more, gives up what has come by
+// then: a request that is whole is answered. It was closed, and what had been read of the request was dropped.
+func TestEndOfReading(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(*admission, *clientConn){
+		"evicted": func(a *admission, c *clientConn) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.evict(c)
+		},
+		"its time is over": func(_ *admission, c *clientConn) { c.SetReadDeadline(time.Now().Add(-time.Millisecond)) },
+	} {
+		for what, cut := range map[string]int{"all unread": 0, "a byte read": 1, "the last byte unread": len(head) - 1} {
+			t.Run(name+", "+what, func(t *testing.T) {
+				t.Parallel()
+				a, dial, accept := doorstep(t, 3)
+				peer, c := dial(), (*clientConn)(nil)
+				c = accept()
+				io.WriteString(peer, head[:cut])
+				var first [64]byte
+				if _, err := io.ReadFull(c, first[:cut]); err != nil {
+					t.Fatal(err)
+				}
+				io.WriteString(peer, head[cut:])
+				c.come(t)
+				end(a, c)
+				if got, err := readAll(c); got != head[cut:] || !errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("read %q, %v; want what had come, then the end", got, err)
+				}
+				c.SetReadDeadline(time.Now().Add(testkit.Patient)) // net/http does at each request
+				if c.lost() != (name == "evicted") {
+					t.Errorf("lost: %v", c.lost())
+				} else if c.lost() {
+					if _, err := readAll(c); !errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Errorf("it goes on after its end: %v", err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// One that trickles is not read on for it: what comes after its time, or is more than a request, is not looked for.
+func TestEndOfReadingIsOne(t *testing.T) {
+	t.Parallel()
+	_, dial, accept := doorstep(t, 3)
+	peer := dial()
+	c := accept()
+	io.WriteString(peer, "x")
+	c.come(t)
+	c.SetReadDeadline(time.Now().Add(-time.Minute))
+	if got, err := readAll(c); got != "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %q, %v long after its time", got, err)
+	}
+	c.SetReadDeadline(time.Now().Add(testkit.Patient)) // late would move with a busy machine's clock
+	c.owner.mu.Lock()
+	c.readBy, c.late = time.Now(), lateMost
+	c.owner.mu.Unlock()
+	if n := c.take(make([]byte, 1)); n != 0 {
+		t.Errorf("%d bytes beyond a request's worth", n)
+	}
+}
+
+// A head that has stalled makes room only if nothing more of it has come.
+func TestUnreadWritingStays(t *testing.T) {
+	t.Parallel()
+	_, dial, accept := doorstep(t, 2)
+	peer := dial()
+	first := accept()
+	dial()
+	second := accept()
+	io.WriteString(peer, head)
+	first.come(t)
+	first.set(admit.Writing, time.Minute)
+	second.set(admit.Writing, 2*admit.StallLeast)
+	dial()
+	accept()
+	if first.lost() || !second.lost() {
+		t.Error("the one whose request was whole made room")
+	}
+}
+
+// A request whose connection was evicted while it came is refused, and its client told; nothing of it goes on: there is no loop here to take it.
+func TestEvictedIsRefused(t *testing.T) {
+	t.Parallel()
+	const text = "GET /read HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: a\r\nX-Time-Left: 9\r\n\r\n"
+	for _, at := range []int{0, 1, len(text) - 1} {
+		a, dial, _ := doorstep(t, 3)
+		began := make(chan *clientConn, 1)
+		f := New(a.TCPListener, 3, front.NewHandler(nil, testkit.Settings(), 1<<20, testkit.Quiet), testkit.Quiet)
+		f.server.ConnState = func(c net.Conn, s http.ConnState) {
+			if f.door.track(c, s); s == http.StateNew {
+				began <- c.(*clientConn)
+			}
+		}
+		served := make(chan bool)
+		go func() { f.Serve(); close(served) }()
+		peer := dial()
+		c := <-began
+		io.WriteString(peer, text[:at])
+		for end, read := time.Now().Add(testkit.Patient), 0; read < at && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			c.owner.mu.Lock()
+			read = c.scan.head
+			c.owner.mu.Unlock()
+		}
+		c.owner.mu.Lock() // what comes now is not noted, and perhaps not read, before the connection is evicted
+		io.WriteString(peer, text[at:])
+		c.owner.evict(c)
+		c.owner.mu.Unlock()
+		resp, err := http.ReadResponse(bufio.NewReader(peer), nil)
+		if err != nil || resp.StatusCode != 503 || !resp.Close {
+			t.Errorf("at %d: %v %v; want a refusal", at, resp, err)
+		}
+		f.Close()
+		<-served
+		if n := f.door.open.Load(); n != 0 {
+			t.Errorf("%d connections are open", n)
+		}
+	}
+}
