--- a/internal/app/endings_test.go
+++ b/internal/app/endings_test.go
@@ -373,6 +373,39 @@
 	})
 }
 
+// An answer that has begun, and stops, is ended with the node, so that its client can tell that it is not whole; the exit does not wait for it.
+func TestEndWithinAnswer(t *testing.T) {
+	t.Parallel()
+	s := testkit.Settings()
+	for i := range s.Classes {
+		s.Classes[i].Deadline = time.Second
+	}
+	addr := testkit.Server(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+			io.Copy(io.Discard, c)
+		}
+	})
+	conf := &Config{Settings: s, Known: testkit.Known(addr)}
+	n := start(t, conf)
+	n.waitReady(t, 200)
+	c := n.dial(t)
+	io.WriteString(c, message("order", "60", ""))
+	resp, err := http.ReadResponse(c.r, nil) // its beginning has been passed on
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	began := time.Now()
+	n.stop()
+	if body, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("a whole answer %q", body)
+	}
+	<-n.ended
+	if took, kill := time.Since(began), conf.drainTime()+killMargin; took > kill+time.Second { // a busy machine's second
+		t.Errorf("ended after %v, killed after %v", took, kill)
+	}
+}
+
 // The end comes with a head half there on a connection that was used before: once it is whole, it is answered. net/http's Shutdown closed such a connection at once.
 func TestEndWithinHead(t *testing.T) {
 	t.Parallel()
