A long answer is not cut at its request's time: its length says so, or its pace

Cause: answer.patience took an answer for short while little of it had come, also where its length says that it is long. Change: an answer of a known length that is passed on is a long one; one of unknown length is taken for one while it comes at 16 KiB/s, and then ends within half a second of its time once it stops.

--- a/internal/app/endings_test.go
+++ b/internal/app/endings_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -337,6 +338,51 @@
 	}
 }
 
+// A long answer may take longer than its request's time: one that says its length whatever its pace, one that does not as long as it comes fast.
+func TestLongAnswerAfterItsTime(t *testing.T) {
+	t.Parallel()
+	const size = 100 << 10
+	for name, frame := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n\r\n", size), "close": "Connection: close\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			over := make(chan bool)
+			addr := testkit.Server(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				first := 1 << 10 // of a length that is known, however little
+				if name == "close" {
+					first = 60 << 10
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n"+frame+strings.Repeat("x", first))
+				for waiting := true; waiting; {
+					select {
+					case <-over:
+						waiting = false
+					case <-time.After(20 * time.Millisecond): // its pace
+						io.WriteString(c, "x")
+						first++
+					}
+				}
+				io.WriteString(c, strings.Repeat("x", size-first))
+			})
+			n := start(t, &Config{Settings: testkit.Settings(), Known: testkit.Known(addr)})
+			n.waitReady(t, 200)
+			c := n.dial(t)
+			io.WriteString(c, message("order", "0.8", ""))
+			resp, err := http.ReadResponse(c.r, nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatal(resp, err)
+			}
+			time.Sleep(600 * time.Millisecond) // its time is over: the server's pace
+			close(over)
+			if body, err := io.ReadAll(resp.Body); err != nil || len(body) != size {
+				t.Errorf("%d bytes, %v", len(body), err)
+			}
+		})
+	}
+}
+
 // After SIGTERM all that was taken is answered before the node may be killed, whatever its own time, and the exit comes then: a hung server under it, a client that takes
 // nothing, a head that is half there, a long answer that has stopped.
 func TestEndWithAllOpen(t *testing.T) {
--- a/internal/upstream/http1/answer.go
+++ b/internal/upstream/http1/answer.go
@@ -20,7 +20,9 @@
 	pieceSize = 16 << 10 // one stream's buffer,
 	smallSize = 2 << 10  // or so much once the budget is spent: no stream waits for another's
 	stallWait = 8 * time.Second
-	leastPace = 8 << 10 // bytes a second, of a long answer over all the time that it is waited for: an eighth of the slowest good peer's
+	longPace  = 16 << 10               // bytes a second, of an answer that says no length: it may be a long one, a slow server's;
+	longWait  = 400 * time.Millisecond // but its pieces come so soon: what stops is over half a second after its time at the latest
+	leastPace = 8 << 10                // bytes a second, of a long answer over all the time that it is waited for: an eighth of the slowest good peer's
 
 	// An answer of unknown length is held until it has bodyLimit, or so much has come in heldMost, or nothing more for startWait.
 	heldMost  = time.Second
@@ -54,6 +56,7 @@
 
 	// As a Rest.
 	ctx     context.Context
+	passed  time.Time     // its beginning has gone on
 	wholeBy time.Time     // unless it turns out to be long
 	waited  time.Duration // for its server, since it is passed on
 	room    *atomic.Int64 // bytes of the node's budget that are free
@@ -186,13 +189,22 @@
 	}
 }
 
-// patience is until when the next piece may come. An answer is timed by its last byte while it has bodyLimit at most: it ends with its
-// request. A longer one may take longer, as long as it comes at leastPace but for stallWait: one that only trickles would hold its client, and
+// patience is until when the next piece may come. An answer is timed by its last byte if it has bodyLimit at most: one that does not say its length ends
+// with its request, unless it comes so fast that it must be a long one. A long one may take longer, as long as it comes at leastPace but for stallWait: one that only trickles would hold its client, and
 // the node's end, for ever. What a slow client takes is not its server's time.
 func (a *answer) patience(now time.Time) time.Time {
 	until := now.Add(min(stallWait, stallWait+time.Duration(float64(a.taken)/leastPace*float64(time.Second))-a.waited))
-	if a.taken <= bodyLimit && a.wholeBy.Before(until) {
-		until = a.wholeBy
+	if a.frame != byLength && a.taken <= bodyLimit {
+		by := a.wholeBy
+		if float64(a.taken) >= longPace*(heldMost+now.Sub(a.passed)).Seconds() {
+			by = now.Add(longWait)
+		}
+		if a.wholeBy.After(by) {
+			by = a.wholeBy
+		}
+		if by.Before(until) {
+			until = by
+		}
 	}
 	return until
 }
@@ -206,6 +218,7 @@
 		a.room.Add(-size)
 	}
 	defer a.room.Add(size)
+	a.passed = time.Now()
 	piece := make([]byte, size)
 	for a.err == nil && !a.broken {
 		now := time.Now()
