Endings read again: one look into a socket, one way to begin a watch anew, no count of news

Need: the change was read once more. Loop.heard could be had from the watch that is kept; registry.watch called next in two places; admission had three looks into a socket (peek, take, gone), now come; Room.All stood beside Room.Unused, now one function behind Unused and Used; a test's wait stood twice. Behaviour and bounds stay.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -112,19 +112,14 @@
 	return nil
 }
 
-// All gives every connection.
-func (r *Room) All() (out []*Conn) {
-	for s := range states {
-		for e := r.by[s].Front(); e != nil; e = e.Next() {
-			out = append(out, e.Value.(*Conn))
-		}
-	}
-	return out
-}
-
 // Unused gives the connections on which no request is open.
-func (r *Room) Unused() (out []*Conn) {
-	for s := range Busy {
+func (r *Room) Unused() []*Conn { return r.in(Mute, Writing, Idle) }
+
+// Used gives those on which one is.
+func (r *Room) Used() []*Conn { return r.in(Busy) }
+
+func (r *Room) in(states ...State) (out []*Conn) {
+	for _, s := range states {
 		for e := r.by[s].Front(); e != nil; e = e.Next() {
 			out = append(out, e.Value.(*Conn))
 		}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -72,7 +72,6 @@
 	version   *uint64                   // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
-	heard     int  // lists and changes that have been told
 }
 
 // Options are what a loop is made of. All but Log are needed; a nil Messenger carries nothing.
@@ -258,15 +257,15 @@
 	case decide.Subscribe:
 		l.subscribe(a.On)
 	case decide.FetchList:
-		d, heard := l.members, l.heard
+		d := l.members
 		l.work.Go(func() {
 			n, err := d.Fetch(l.ctx)
 			l.post(func() {
 				switch {
 				case d != l.members:
 					n, err = List{}, errors.New("discovery has moved")
-				case err == nil && heard != l.heard && l.version != nil && n.Version < *l.version:
-					return // the watch has told newer news since
+				case err == nil && l.endWatch != nil && l.version != nil && n.Version < *l.version:
+					return // the watch that is kept has told newer news
 				}
 				l.told(n, err)
 			})
@@ -627,7 +626,6 @@
 }
 
 func (l *Loop) news(n List) {
-	l.heard++
 	kind := decide.ListChanges
 	if n.Full {
 		kind = decide.ListFull
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -163,15 +163,22 @@
 }
 
 // peek reads what has come without taking it.
-func peek(tcp *net.TCPConn, into []byte) (n int) {
+func peek(tcp *net.TCPConn, into []byte) int {
+	n, _ := come(tcp, into, syscall.MSG_PEEK)
+	return n
+}
+
+// come gives what has come, whatever the deadline of the reading. With nothing and no error the other side has ended its sending; EAGAIN: nothing has
+// come yet.
+func come(tcp *net.TCPConn, into []byte, flags int) (n int, err error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0
+		return 0, err
 	}
-	raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), into, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return max(0, n)
+	if failed := raw.Control(func(fd uintptr) { n, _, err = syscall.Recvfrom(int(fd), into, flags|syscall.MSG_DONTWAIT) }); failed != nil {
+		err = failed
+	}
+	return max(0, n), err
 }
 
 // classIn gives the first part of the path of a request that begins so.
@@ -231,15 +238,16 @@
 func (a *admission) closeStalled() {
 	var stalled []*clientConn
 	a.mu.Lock()
-	for _, c := range a.room.All() {
+	for _, c := range a.room.Unused() {
+		a.evict(c.Owner.(*clientConn))
+	}
+	for _, c := range a.room.Used() {
 		old := c.Owner.(*clientConn)
 		least := drainStall
 		if old.sent.Load() > front.BodyLimit {
 			least = longStall
 		}
-		if c.State() != admit.Busy {
-			a.evict(old)
-		} else if old.sent.Load() > 0 && a.now()-time.Duration(old.wrote.Load()) > least {
+		if old.sent.Load() > 0 && a.now()-time.Duration(old.wrote.Load()) > least {
 			stalled = append(stalled, old)
 		}
 	}
@@ -384,14 +392,7 @@
 	if c.readBy.IsZero() || time.Since(c.readBy) > lateWait || c.late >= lateMost {
 		return 0
 	}
-	raw, err := c.TCPConn.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
-	})
-	n = max(0, n)
+	n, _ = come(c.TCPConn, p, 0)
 	c.late += n
 	return n
 }
@@ -407,17 +408,9 @@
 }
 
 // gone tells whether the client has left: its end is all that there is to be read.
-func (c *clientConn) gone() (gone bool) {
-	raw, err := c.TCPConn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	raw.Control(func(fd uintptr) {
-		var next [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return gone
+func (c *clientConn) gone() bool {
+	n, err := come(c.TCPConn, make([]byte, 1), syscall.MSG_PEEK)
+	return n == 0 && err != syscall.EAGAIN && err != syscall.EINTR
 }
 
 func (c *clientConn) follow(p []byte) int {
--- a/internal/front/http1/admission_test.go
+++ b/internal/front/http1/admission_test.go
@@ -106,9 +106,7 @@
 	dial()
 	second := accept()
 	fmt.Fprint(peer, "GET")
-	for end := time.Now().Add(testkit.Patient); !first.waiting() && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	first.come(t)
 	first.set(admit.Mute, time.Minute)
 	second.set(admit.Mute, time.Second)
 	dial()
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -169,9 +169,8 @@
 		if !first && silent(err) && ctx.Err() == nil {
 			d.log.Info("discovery: the watch has fallen silent; it is begun anew", "since", version)
 			d.Close() // what is kept to it may be silent too
-			since = new(version)
-			first = true
-			l, err = d.next(ctx, since, version, first, p)
+			since, first = new(version), true
+			continue
 		}
 		if err != nil {
 			return err
