--- /dev/null
+++ b/cmd/starlingvalve/endings_test.go
@@ -0,0 +1,314 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"starlingvalve/internal/testkit"
+)
+
+// crossed is a node whose server says of each request that it came, and answers those that are to be held once it is let.
+type crossed struct {
+	*replaceable
+	came chan string // ids
+	let  chan bool   // closed: held ones are answered
+	once sync.Once
+}
+
+// answer has held ones answered.
+func (n *crossed) answer() { n.once.Do(func() { close(n.let) }) }
+
+func newCrossed(t *testing.T) *crossed {
+	n := &crossed{replaceable: newReplaceable(t), came: make(chan string, 99), let: make(chan bool)}
+	addr := testkit.Server(t, testkit.Answering(func(r *http.Request, _ []byte) string {
+		id := r.Header.Get("X-Correlation-Id")
+		if n.came <- id; strings.HasPrefix(id, "held") {
+			<-n.let
+		}
+		return testkit.OK("x")
+	}))
+	t.Cleanup(n.answer) // before the server's
+	dir, err := os.MkdirTemp("", "sv") // a socket's path has to be short
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	n.dir = dir
+	n.config = strings.Replace(n.config, n.server.Addr, addr, 1)
+	n.config = strings.Replace(n.config, `"deadline_ns":3000000000,"aim_ns":2500000000`, `"deadline_ns":1000000000,"aim_ns":900000000`, 1)
+	return n
+}
+
+// open sends a request on a connection of its own; status waits for its answer.
+func (n *crossed) open(id string) (c net.Conn, status func() int) {
+	n.t.Helper()
+	c, err := net.Dial("tcp", n.listen)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testkit.Patient))
+	n.write(c, id)
+	r := bufio.NewReader(c)
+	return c, func() int {
+		n.t.Helper()
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			n.t.Errorf("%s has no answer: %v", id, err)
+			return 0
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+}
+
+func (n *crossed) write(c net.Conn, id string) {
+	fmt.Fprintf(c, "POST /c HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: %s\r\nX-Time-Left: 9\r\nContent-Length: 0\r\n\r\n", id)
+}
+
+// taken waits until a request has come to the server.
+func (n *crossed) taken(id string) {
+	n.t.Helper()
+	select {
+	case got := <-n.came:
+		if got != id {
+			n.t.Fatalf("%s came to the server, want %s", got, id)
+		}
+	case <-time.After(testkit.Patient):
+		n.t.Fatalf("%s does not come to the server", id)
+	}
+}
+
+// ends waits for a process that was told to end: by itself, with 0.
+func (n *crossed) ends(cmd *exec.Cmd) {
+	n.t.Helper()
+	hung := time.AfterFunc(testkit.Patient, func() { cmd.Process.Kill() })
+	defer hung.Stop()
+	if err := cmd.Wait(); err != nil {
+		n.t.Errorf("it ends with %v", err)
+	}
+}
+
+// rewrite puts another text into a process's configuration, and has it read.
+func (n *crossed) rewrite(cmd *exec.Cmd, config string) {
+	n.t.Helper()
+	for _, v := range cmd.Env {
+		if path, ok := strings.CutPrefix(v, "GW_CONFIG="); ok {
+			if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+				n.t.Fatal(err)
+			}
+		}
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// Whatever else comes beside the word to end, what was taken gets its one answer, and the process ends by itself.
+func TestTermCrosses(t *testing.T) {
+	for name, cross := range map[string]func(*crossed, *exec.Cmd){
+		"alone": func(n *crossed, cmd *exec.Cmd) { cmd.Process.Signal(syscall.SIGTERM) },
+		"twice, and SIGINT": func(n *crossed, cmd *exec.Cmd) {
+			cmd.Process.Signal(syscall.SIGTERM)
+			cmd.Process.Signal(syscall.SIGTERM)
+			cmd.Process.Signal(os.Interrupt)
+		},
+		"within a reload": func(n *crossed, cmd *exec.Cmd) {
+			n.rewrite(cmd, strings.Replace(n.config, `"discovery":"127.0.0.1:`, `"discovery":"127.0.0.2:`, 1))
+			cmd.Process.Signal(syscall.SIGTERM)
+		},
+		"a bad configuration within it": func(n *crossed, cmd *exec.Cmd) {
+			cmd.Process.Signal(syscall.SIGTERM)
+			n.rewrite(cmd, n.config[:len(n.config)/2])
+		},
+		"a good configuration within it": func(n *crossed, cmd *exec.Cmd) {
+			cmd.Process.Signal(syscall.SIGTERM)
+			n.rewrite(cmd, n.config)
+		},
+	} {
+		for _, hung := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", a hung server ", hung), func(t *testing.T) {
+				t.Parallel()
+				n := newCrossed(t)
+				cmd := n.start()
+				_, status := n.open("held")
+				n.taken("held")
+				cross(n, cmd)
+				if !hung {
+					n.answer()
+				}
+				if got, want := status(), map[bool]int{false: 200, true: 502}[hung]; got != want {
+					t.Errorf("status %d, want %d", got, want)
+				}
+				n.ends(cmd)
+				if hung {
+					n.answer()
+				}
+				if len(n.came) > 0 {
+					t.Errorf("%s went out again", <-n.came)
+				}
+			})
+		}
+	}
+}
+
+// A process told to end before it is ready, at any moment of its start, ends: by itself with 0, or by the signal as nothing has been set up yet.
+func TestTermBeforeReady(t *testing.T) {
+	t.Parallel()
+	n := newCrossed(t)
+	for i := range 12 {
+		cmd, _ := program(t, n.config)
+		cmd.Stderr, cmd.Env = nil, append(cmd.Env, "TMPDIR="+n.dir)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Duration(i) * 2 * time.Millisecond) // any moment will do
+		cmd.Process.Signal(syscall.SIGTERM)
+		hung := time.AfterFunc(testkit.Patient, func() { cmd.Process.Kill() })
+		err := cmd.Wait()
+		hung.Stop()
+		if status := cmd.ProcessState.Sys().(syscall.WaitStatus); err != nil && status.Signal() != syscall.SIGTERM {
+			t.Errorf("after %d ms: %v", 2*i, err)
+		}
+	}
+}
+
+// The word to end comes to either process within a replacement. What the old one has taken is answered by it, what comes is served, and each process told to
+// end does so by itself.
+func TestTermWithinReplacement(t *testing.T) {
+	for _, newcomer := range []bool{false, true} {
+		t.Run(fmt.Sprint("to the newcomer ", newcomer), func(t *testing.T) {
+			t.Parallel()
+			n := newCrossed(t)
+			old := n.start()
+			kept, first := n.open("held")
+			n.taken("held")
+			next, _ := program(t, n.config)
+			next.Stderr, next.Env = nil, append(next.Env, "TMPDIR="+n.dir)
+			log, err := next.StderrPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := next.Start(); err != nil {
+				t.Fatal(err)
+			}
+			guard := time.AfterFunc(testkit.Patient, func() { next.Process.Kill() })
+			t.Cleanup(func() { guard.Stop(); next.Process.Kill(); next.Wait() })
+			lines := bufio.NewScanner(log)
+			for lines.Scan() && !strings.Contains(lines.Text(), "replacing the process that serves") {
+			}
+			go func() {
+				for lines.Scan() {
+				}
+			}()
+			told, stays := old, next
+			if newcomer {
+				told, stays = next, old
+			}
+			told.Process.Signal(syscall.SIGTERM)
+			if newcomer {
+				n.ends(next)
+			}
+			_, second := n.open("held-second") // whoever is there takes it
+			n.taken("held-second")
+			n.answer()
+			if got := first(); got != 200 {
+				t.Errorf("what the old one had taken: %d", got)
+			}
+			if got := second(); got != 200 {
+				t.Errorf("what came then: %d", got)
+			}
+			if newcomer {
+				n.write(kept, "third")
+				if got := first(); got != 200 {
+					t.Errorf("on the kept connection: %d", got)
+				}
+				n.taken("third")
+			} else {
+				n.ends(old)
+			}
+			stays.Process.Signal(syscall.SIGTERM)
+			n.ends(stays)
+			if len(n.came) > 0 {
+				t.Errorf("%s went out again", <-n.came)
+			}
+		})
+	}
+}
+
+// A process without a descriptor left refuses what it can't send, at once: its servers are not to blame for that. Who comes then waits in the listener's queue. Once
+// there are some, all goes on.
+func TestNoDescriptors(t *testing.T) {
+	t.Parallel()
+	n := newCrossed(t)
+	cmd := n.start()
+	kept, err := net.Dial("tcp", n.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	kept.SetDeadline(time.Now().Add(testkit.Patient))
+	r := bufio.NewReader(kept)
+	answer := func() int {
+		t.Helper()
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+	io.WriteString(kept, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
+	if got := answer(); got != 200 { // it is one of those that have been accepted
+		t.Fatalf("status %d", got)
+	}
+	_, held := n.open("held") // it has the one connection to the server that there is
+	n.taken("held")
+	var was unix.Rlimit
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &was); err != nil {
+		t.Fatal(err)
+	}
+	few := was
+	few.Cur = 3 // those that are open stay
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &few, nil); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	const short = 8
+	for i := range short {
+		n.write(kept, fmt.Sprint("short", i))
+		if got := answer(); got != 503 {
+			t.Errorf("short%d: status %d, want a refusal: it has not run", i, got)
+		}
+	}
+	if took := time.Since(began); took > testkit.Patient/4 { // a busy machine's
+		t.Errorf("%d refusals took %v", short, took)
+	}
+	_, late := n.open("late")
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &was, nil); err != nil {
+		t.Fatal(err)
+	}
+	n.write(kept, "again")
+	if got := answer(); got != 200 {
+		t.Errorf("once there are some again: %d", got)
+	}
+	if got := late(); got != 200 {
+		t.Errorf("who came meanwhile: %d", got)
+	}
+	n.answer()
+	if got := held(); got != 200 {
+		t.Errorf("what was out: %d", got)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	n.ends(cmd)
+}
--- a/internal/app/endings_test.go
+++ b/internal/app/endings_test.go
@@ -214,6 +214,12 @@
 	})
 }
 
+// readRequest reads one request, and no body.
+func readRequest(c net.Conn) error {
+	_, err := http.ReadRequest(bufio.NewReader(c))
+	return err
+}
+
 // ping asks for the node's health, so that what it was sent before has been taken up.
 func (c client) ping(t *testing.T) (int, string, error) {
 	io.WriteString(c, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
--- /dev/null
+++ b/internal/app/leaving_test.go
@@ -0,0 +1,266 @@
+package app
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/testkit"
+)
+
+// landed waits until all that a client has written, and the end of its direction, have come to the node's machine.
+func (c client) landed(t *testing.T) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const finWait2, closed = 5, 7 // the end has been acknowledged; the node has answered, and closed
+	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+		var info *unix.TCPInfo
+		raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if info.State == finWait2 || info.State == closed {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("its end has not come: state %d", info.State)
+		}
+	}
+}
+
+// dialing waits until somebody is connecting to an address whose queue is full.
+func dialing(t *testing.T, addr string) {
+	t.Helper()
+	at := netip.MustParseAddrPort(addr)
+	ip := at.Addr().As4()
+	line := fmt.Sprintf(" %08X:%04X 02 ", binary.NativeEndian.Uint32(ip[:]), at.Port()) // 02: SYN_SENT
+	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(table), line) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("nobody connects to %s", addr)
+		}
+	}
+}
+
+// A client that leaves is noticed before its request goes out, also where its end can't be read up to: behind more than is read ahead, or behind a body
+// that nobody reads while its attempt waits for a connection. Both were written to the server once the handshake was done.
+func TestLeftUnread(t *testing.T) {
+	for what, text := range map[string]func(c decide.Class) string{
+		"more than is read ahead behind it": func(c decide.Class) string { return request(c, "left", "9") + behind(c, 108<<10) },
+		"a body that is still coming": func(c decide.Class) string {
+			return strings.Replace(request(c, "left", "9"), "Length: 0", "Length: 200000", 1) + strings.Repeat("x", 100<<10)
+		},
+	} {
+		t.Run(what, func(t *testing.T) {
+			underAll(t, func(t *testing.T, s decide.Settings) {
+				addr, letGo := queued(t)
+				n := start(t, &Config{Settings: s, Known: testkit.Known(addr)})
+				n.waitReady(t, 200)
+				first := n.dial(t)
+				io.WriteString(first, text(s.Classes[2]))
+				dialing(t, addr)
+				second := n.dial(t) // its handshake is begun after the other's
+				io.WriteString(second, request(s.Classes[0], "stays", "9"))
+				first.CloseWrite()
+				first.landed(t)
+				server := newHolding(t)
+				letGo(server.serve)
+				if status, body, err := second.answer(t); err != nil || status == 200 && body != "stays" {
+					t.Errorf("%d %q %v", status, body, err)
+				}
+				if status, _, err := first.answer(t); err == nil && status != 400 && status != 503 {
+					t.Errorf("the one that left: %d", status)
+				}
+				n.stop()
+				<-n.ended
+				for len(server.came) > 0 {
+					if id := <-server.came; id != "stays" {
+						t.Errorf("%s came to the server", id)
+					}
+				}
+			})
+		})
+	}
+}
+
+// behind is requests of so many bytes.
+func behind(c decide.Class, size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		b.WriteString(request(c, fmt.Sprint("behind", i), "9"))
+	}
+	return b.String()
+}
+
+// Of what lies behind an open request nothing goes out once its client has left, however much it is. What was beyond the bound of what is read ahead was served to
+// nobody.
+func TestLeftBehindMuch(t *testing.T) {
+	t.Parallel()
+	s := testkit.Settings()
+	s.MaxOpen = 1000
+	release, came := make(chan bool), make(chan string, 9999)
+	addr := testkit.Server(t, testkit.Answering(func(r *http.Request, _ []byte) string {
+		id := r.Header.Get("X-Correlation-Id")
+		if came <- id; id == "first" {
+			<-release
+		}
+		return testkit.OK(id)
+	}))
+	n := start(t, &Config{Settings: s, Known: testkit.Known(addr)})
+	n.waitReady(t, 200)
+	c := n.dial(t)
+	io.WriteString(c, request(s.Classes[0], "first", "9"))
+	if id := <-came; id != "first" {
+		t.Fatal(id)
+	}
+	io.WriteString(c, behind(s.Classes[0], 108<<10))
+	c.CloseWrite()
+	c.landed(t)
+	close(release)
+	io.Copy(io.Discard, c)
+	n.stop()
+	<-n.ended
+	if len(came) > 0 {
+		t.Errorf("%d came to the server after their client had left, the first %s", len(came), <-came)
+	}
+}
+
+// longNode is a node whose server's answer is long, and as the test says, with a client that has asked for it.
+func longNode(t *testing.T, serve func(net.Conn)) (*testNode, *Config, client) {
+	t.Helper()
+	s := testkit.Settings()
+	for i := range s.Classes {
+		s.Classes[i].Deadline = 800 * time.Millisecond
+	}
+	conf := &Config{Settings: s, Known: testkit.Known(testkit.Server(t, serve))}
+	n := start(t, conf)
+	n.waitReady(t, 200)
+	c := n.dial(t)
+	io.WriteString(c, request(s.Classes[0], "long", "60"))
+	return n, conf, c
+}
+
+// A client that takes nothing of its long answer keeps the exit no longer than 2 s, in which a slow one takes the next piece.
+func TestEndWithStalledClient(t *testing.T) {
+	t.Parallel()
+	const size = 24 << 20 // more than the kernel holds
+	n, conf, c := longNode(t, func(c net.Conn) {
+		if readRequest(c) == nil {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+			c.Write(make([]byte, size))
+		}
+	})
+	if _, err := c.r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	n.stop()
+	<-n.ended
+	if took, kill := time.Since(began), conf.drainTime()+killMargin; took > kill+2*time.Second+testkit.Patient/4 { // a busy machine's
+		t.Errorf("ended after %v, killed after %v", took, kill)
+	}
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return // cut within its head
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+		t.Errorf("%d bytes look whole", n)
+	}
+}
+
+// A long answer that goes on moving as the node's end is over is not cut: it is whole before the exit.
+func TestEndWithMovingAnswer(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	stop := make(chan *Config, 1)
+	n, conf, c := longNode(t, func(c net.Conn) {
+		if readRequest(c) != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		sent, _ := c.Write(make([]byte, 100<<10))
+		end := time.Now().Add((<-stop).drainTime()) // the last answers of other requests have left by then
+		for until := end.Add(150 * time.Millisecond); sent < size-1000 && time.Now().Before(until); sent += 1000 {
+			c.Write(make([]byte, 1000))
+			time.Sleep(10 * time.Millisecond) // its pace
+		}
+		c.Write(make([]byte, size-sent))
+	})
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	n.stop()
+	stop <- conf
+	if got, err := io.Copy(io.Discard, resp.Body); err != nil || got != size {
+		t.Errorf("%d bytes, %v", got, err)
+	}
+	<-n.ended
+}
+
+// The end comes within a body: its request has not been taken, and its client is told so, whether it is held whole or would be passed on. The exit does not wait for it.
+func TestEndWithinBody(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{1000, 200 << 10} {
+		for _, moves := range []bool{false, true} {
+			t.Run(fmt.Sprint(size, " moves ", moves), func(t *testing.T) {
+				t.Parallel()
+				s := testkit.Settings()
+				for i := range s.Classes {
+					s.Classes[i].Deadline = 150 * time.Millisecond
+				}
+				server := newHolding(t)
+				n := start(t, &Config{Settings: s, Known: testkit.Known(server.addr)})
+				n.waitReady(t, 200)
+				c := n.dial(t)
+				io.WriteString(c, strings.Replace(request(s.Classes[2], "half", "60"), "Length: 0", fmt.Sprint("Length: ", size), 1)+strings.Repeat("x", size/2))
+				if status, _, err := n.dial(t).ping(t); status != 200 || err != nil {
+					t.Fatal(status, err)
+				}
+				n.stop()
+				over, pace := make(chan bool), make(chan bool)
+				go func() {
+					defer close(pace)
+					for sent := size / 2; moves && sent < size-100; sent += 50 {
+						select {
+						case <-over:
+							return
+						case <-time.After(5 * time.Millisecond):
+							io.WriteString(c, strings.Repeat("x", 50))
+						}
+					}
+				}()
+				status, _, err := c.answer(t)
+				close(over)
+				<-pace
+				if want := map[bool][]int{true: {408}, false: {502, 503}}[size == 1000]; err != nil || !slices.Contains(want, status) {
+					t.Errorf("%d %v, want one of %v", status, err, want)
+				}
+				<-n.ended
+				if len(server.came) > 0 && size < 64<<10 {
+					t.Errorf("%s came to the server", <-server.came)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/endings_test.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// An answer that comes as the request's time-out does is the client's: it is final already, and the module has been told so. 504 was given in its place, of a request that had
+// been served.
+func TestAnswerAndTimeOut(t *testing.T) {
+	t.Parallel()
+	f := newFakes()
+	s := loopSettings()
+	s.MayCancel = false // else the attempt would be in Do's own goroutine
+	l := running(t, s, f)
+	answered := make(chan Answer, 1)
+	const wait = 100 * time.Millisecond
+	r := ask("order", "q", wait)
+	go func() { a, _ := l.Do(t.Context(), r); answered <- a }()
+	f.expect(t, "do /order")
+	l.post(func() {
+		for time.Until(r.Deadline) > -3*overdue { // under the lock: Do finds its time over, and waits for it
+			time.Sleep(overdue)
+		}
+		l.finish("q", Answer{Status: http.StatusOK, Body: []byte("x")})
+	})
+	if a := <-answered; a.Status != http.StatusOK || string(a.Body) != "x" {
+		t.Errorf("%+v", a)
+	}
+	f.reply <- Result{Code: decide.OK}
+	for l.holds("q") {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Of a list asked for beside the watch, one that is older than what the watch has told changes nothing: a server that drains would be ready in it. Nor does one of a
+// discovery that has been left.
+func TestOlderFetched(t *testing.T) {
+	t.Parallel()
+	f := newFakes()
+	l := running(t, loopSettings(), f)
+	f.expect(t, "watch from 1")
+	draining := oneServer[0]
+	draining.State = decide.Draining
+	f.lists <- List{Version: 9, Full: true, Entries: []Entry{draining}}
+	f.expect(t, "update 9")
+	for l.Able() {
+		time.Sleep(time.Millisecond)
+	}
+	l.post(func() {
+		l.fetched(f, List{Version: 3, Full: true, Entries: oneServer}, nil)
+		l.fetched(newFakes(), List{Version: 30, Full: true, Entries: oneServer}, nil)
+	})
+	if l.Able() || *l.version != 9 {
+		t.Errorf("version %d is in force", *l.version)
+	}
+	l.post(func() { l.fetched(f, List{Version: 10, Full: true, Entries: oneServer}, nil) })
+	if !l.Able() || *l.version != 10 {
+		t.Errorf("a newer one is not taken: version %d", *l.version)
+	}
+}
+
+// The loop's end is the membership's too, once its calls have ended: what comes up late then is not kept.
+func TestEndClosesMembership(t *testing.T) {
+	t.Parallel()
+	f := newFakes()
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := New(ctx, Options{Settings: loopSettings(), Seed: 1, Transport: f, Members: f, Messenger: f, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); l.Run(List{Version: 1, Entries: oneServer}) }()
+	f.expect(t, "watch from 1")
+	cancel()
+	<-done
+	close(f.calls)
+	var last string
+	for call := range f.calls {
+		if last = call; strings.HasPrefix(call, "close") {
+			break
+		}
+	}
+	if last != "close membership" || len(f.calls) > 0 {
+		t.Errorf("ended with %q, and %d calls behind it", last, len(f.calls))
+	}
+}
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -53,5 +53,7 @@
 	to.Write(x.Body)
 }
 
-// Unwanted tells whether the request of an exchange is over: what has not begun to be written is not written any more.
-func (x *Exchange) Unwanted() bool { return x.Wanted != nil && x.Wanted.Err() != nil }
+// Unwanted tells whether the request of an exchange is over, or its client has left: what has not begun to be written is not written any more.
+func (x *Exchange) Unwanted() bool {
+	return x.Wanted != nil && x.Wanted.Err() != nil || x.Left != nil && x.Left()
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -163,7 +163,7 @@
 	metering.Go(l.lag.run)
 	defer metering.Wait()
 	defer l.lag.close()
-	defer l.work.Wait()
+	defer func() { l.work.Wait(); l.members.Close() }() // else a connection that came up late would be kept for good
 	defer l.alarm.Stop()
 	defer l.EndBy(time.Time{})
 	l.mu.Lock()
@@ -260,15 +260,7 @@
 		d := l.members
 		l.work.Go(func() {
 			n, err := d.Fetch(l.ctx)
-			l.post(func() {
-				switch {
-				case d != l.members:
-					n, err = List{}, errors.New("discovery has moved")
-				case err == nil && l.endWatch != nil && l.version != nil && n.Version < *l.version:
-					return // the watch that is kept has told newer news
-				}
-				l.told(n, err)
-			})
+			l.post(func() { l.fetched(d, n, err) })
 		})
 	case decide.CloseIdle:
 		l.transport.CloseIdle(a.Server)
@@ -412,7 +404,8 @@
 		l.over(a, n, Result{Code: decide.Moot})
 		return
 	}
-	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline, Whole: r.Deadline, Wanted: r.wanted, Written: l.figures.Sent}
+	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline, Whole: r.Deadline, Wanted: r.wanted, Left: r.Left,
+		Written: l.figures.Sent}
 	if a.Timeout != 0 && now.Add(a.Timeout).Before(r.Deadline) {
 		x.Deadline = now.Add(a.Timeout)
 	}
@@ -615,6 +608,17 @@
 	})
 }
 
+// fetched takes a list that was asked for beside the watch, from d.
+func (l *Loop) fetched(d Membership, n List, err error) {
+	switch {
+	case d != l.members:
+		n, err = List{}, errors.New("discovery has moved")
+	case err == nil && l.endWatch != nil && l.version != nil && n.Version < *l.version:
+		return // the watch that is kept has told newer news
+	}
+	l.told(n, err)
+}
+
 // told takes the answer to a call that the module made.
 func (l *Loop) told(n List, err error) {
 	if err != nil {
--- a/internal/core/ports_test.go
+++ b/internal/core/ports_test.go
@@ -14,6 +14,8 @@
 
 const patient = 20 * time.Second
 
+var quiet = slog.New(slog.DiscardHandler)
+
 // fakes are all ports at once; each call on them is told.
 type fakes struct {
 	calls chan string
@@ -108,7 +110,7 @@
 func running(t *testing.T, s decide.Settings, f *fakes) *Loop {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	l, err := New(ctx, Options{Settings: s, Seed: 1, Transport: f, Members: f, Messenger: f, Log: slog.New(slog.DiscardHandler)})
+	l, err := New(ctx, Options{Settings: s, Seed: 1, Transport: f, Members: f, Messenger: f, Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -249,7 +251,7 @@
 	t.Parallel()
 	f, far := newFakes(), &abroad{offers: make(chan bool, 9), end: make(chan Crossed, 9), gone: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
-	l, err := New(ctx, Options{Settings: loopSettings(), Seed: 1, Transport: f, Members: f, Remote: far, Log: slog.New(slog.DiscardHandler)})
+	l, err := New(ctx, Options{Settings: loopSettings(), Seed: 1, Transport: f, Members: f, Remote: far, Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -31,13 +32,15 @@
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
 	answerMargin = 10 * time.Millisecond
 	busyHoldOff  = 500 * time.Millisecond // what a client is told that the node itself has no room for
+	// A request that has waited so long for an attempt is looked at once more before it goes out: has its client left? 0.3 s after that nothing may go out.
+	leftLook = 50 * time.Millisecond
 )
 
 // Handler serves the requests of a front: checks each, hands it to the loop, writes its answer.
 type Handler struct {
 	// Lost, if set, tells whether a request's connection was ended to make room while the request was on its way: it is refused.
 	Lost func(*http.Request) bool
-	// Gone, if set, tells whether a request's client has left already: nothing is begun for it.
+	// Gone, if set, tells whether a request's client has left: nothing more is begun for it. It is called at any time until the request has been answered.
 	Gone func(*http.Request) bool
 	// Doubtful, if set, tells whether a request's end can be read in two ways: it has both a length and a transfer coding. It is asked once for
 	// each request, in their order on a connection.
@@ -194,8 +197,19 @@
 	if end := f.drainEnd.Load(); end != nil && req.Deadline.After(*end) {
 		req.Deadline = *end
 	}
-	began := time.Now()
-	a, ok := f.loop.Do(r.Context(), req)
+	began, ctx := time.Now(), r.Context()
+	if f.Gone != nil {
+		client, leave := context.WithCancel(ctx)
+		defer leave()
+		ctx, req.Left = client, func() bool {
+			if time.Since(began) < leftLook || !f.Gone(r) {
+				return false
+			}
+			leave()
+			return true
+		}
+	}
+	a, ok := f.loop.Do(ctx, req)
 	f.Figures.Took(class, a.Status, began)
 	if f.Seen != nil {
 		seen := &Seen{Request: req, Answer: a, Gone: !ok, Began: began, Took: time.Since(began), Patience: patience}
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"starlingvalve/internal/admit"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/pause"
@@ -234,7 +236,8 @@
 	}
 }
 
-// closeStalled ends the connections whose answers have begun and do not move, and those on which no request is open.
+// closeStalled ends the connections whose answers have begun and do not move, and the reading of those on which no request is open or whose request is not
+// whole: it has not been taken, and its client is told so.
 func (a *admission) closeStalled() {
 	var stalled []*clientConn
 	a.mu.Lock()
@@ -243,6 +246,10 @@
 	}
 	for _, c := range a.room.Used() {
 		old := c.Owner.(*clientConn)
+		if old.scan.state != scanHead {
+			a.evict(old)
+			continue
+		}
 		least := drainStall
 		if old.sent.Load() > front.BodyLimit {
 			least = longStall
@@ -407,9 +414,26 @@
 	return n, err
 }
 
-// gone tells whether the client has left: its end is all that there is to be read.
+// gone tells whether the client has left, also behind bytes that nobody has read yet. One that ends its own direction only has left too.
 func (c *clientConn) gone() bool {
-	n, err := come(c.TCPConn, make([]byte, 1), syscall.MSG_PEEK)
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	look := []unix.PollFd{{Events: unix.POLLIN | unix.POLLRDHUP}}
+	if raw.Control(func(fd uintptr) {
+		look[0].Fd = int32(fd)
+		_, err = unix.Poll(look, 0)
+	}) != nil {
+		return true // it has been closed here
+	}
+	switch {
+	case err == nil && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0:
+		return true
+	case err == nil && look[0].Revents == 0:
+		return false
+	}
+	n, err := come(c.TCPConn, make([]byte, 1), syscall.MSG_PEEK) // where the system does not tell of the end before it is read up to
 	return n == 0 && err != syscall.EAGAIN && err != syscall.EINTR
 }
 
--- a/internal/front/http1/endings_test.go
+++ b/internal/front/http1/endings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -158,3 +159,24 @@
 		}
 	}
 }
+
+// Nothing is begun for a request whose client had left before it was taken up, whatever it has sent behind it: there is no loop here to take it.
+func TestLeftBeforeTaken(t *testing.T) {
+	t.Parallel()
+	const text = "GET /read HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: a\r\nX-Time-Left: 9\r\n\r\n"
+	for _, behind := range []string{"", "G", text, strings.Repeat(text, 200)} { // the last is beyond net/http's buffer
+		a, dial, _ := doorstep(t, 3)
+		peer := dial()
+		io.WriteString(peer, text+behind)
+		peer.(*net.TCPConn).CloseWrite() // which waits in the listener's queue
+		f := New(a.TCPListener, 3, front.NewHandler(nil, testkit.Settings(), 1<<20, testkit.Quiet), testkit.Quiet)
+		served := make(chan bool)
+		go func() { f.Serve(); close(served) }()
+		resp, err := http.ReadResponse(bufio.NewReader(peer), nil)
+		if err != nil || resp.StatusCode != 400 || !resp.Close {
+			t.Errorf("%d bytes behind it: %v %v; want to be told that nothing comes", len(behind), resp, err)
+		}
+		f.Close()
+		<-served
+	}
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -46,6 +46,7 @@
 	var open sync.WaitGroup
 	var mu sync.Mutex
 	var conns []net.Conn
+	closed := false
 	open.Go(func() {
 		for {
 			c, err := l.Accept()
@@ -53,7 +54,9 @@
 				return
 			}
 			mu.Lock()
-			conns = append(conns, c)
+			if conns = append(conns, c); closed { // it was accepted as the test ended
+				c.Close()
+			}
 			mu.Unlock()
 			open.Go(func() { defer c.Close(); serve(c) })
 		}
@@ -61,6 +64,7 @@
 	t.Cleanup(func() {
 		l.Close()
 		mu.Lock()
+		closed = true
 		for _, c := range conns {
 			c.Close()
 		}
--- /dev/null
+++ b/internal/upstream/http1/endings_test.go
@@ -0,0 +1,72 @@
+package http1
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/core"
+	"starlingvalve/internal/testkit"
+)
+
+// The time in which servers remember a key ends while a request is being written: its last byte is not written, and so it has not run.
+func TestWindowEndsWithinWrite(t *testing.T) {
+	t.Parallel()
+	whole, done := make(chan bool, 1), make(chan bool)
+	const size = 4 << 20
+	addr := testkit.Server(t, func(c net.Conn) {
+		c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		<-done // it reads nothing before the window is over
+		n, _ := io.Copy(io.Discard, c)
+		whole <- n >= size
+	})
+	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b.Update(testkit.Known(addr))
+	c, err := b.connect(t.Context(), b.find(1), get(testkit.Patient))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	b.release(b.find(1), c, true)
+	x := get(testkit.Patient)
+	x.Method, x.Body, x.WriteBy = "POST", make([]byte, size), time.Now().Add(200*time.Millisecond)
+	r := b.do(t.Context(), b.find(1), x)
+	if r.Code != decide.ConnectFailed || time.Now().Before(x.WriteBy) || time.Until(x.Deadline) < testkit.Patient/2 {
+		t.Errorf("%v (%v) with %v of its time left; want it to end with the window, not run", r.Code, r.Err, time.Until(x.Deadline))
+	}
+	close(done)
+	if <-whole {
+		t.Error("it came to the server whole")
+	}
+	b.Update(core.List{Full: true})
+	if b.open != 0 {
+		t.Errorf("%d connections are open", b.open)
+	}
+}
+
+// How long the next piece of an answer that is passed on is waited for.
+func TestPatience(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	const s, kB = time.Second, 1 << 10
+	for name, c := range map[string]struct {
+		a    answer
+		want time.Duration
+	}{
+		"a length is known: a stall of 8 s":                {answer{frame: byLength, taken: kB, wholeBy: now}, 8 * s},
+		"long, and it keeps its pace":                      {answer{frame: byChunks, taken: 800 * kB, waited: 95 * s, wholeBy: now}, 8 * s},
+		"long, and it trickles: it ends":                   {answer{frame: byLength, taken: 80 * kB, waited: 18 * s, wholeBy: now}, 0},
+		"long, half a second slower than the least pace":   {answer{frame: byClose, taken: 80 * kB, waited: 10*s + s/2, wholeBy: now}, 7*s + s/2},
+		"short so far: with its request":                   {answer{frame: byChunks, taken: kB, passed: now.Add(-s), wholeBy: now.Add(s)}, s},
+		"short so far, its time over: at once":             {answer{frame: byClose, taken: kB, passed: now.Add(-s), wholeBy: now}, 0},
+		"short so far and fast: it may be long":            {answer{frame: byChunks, taken: 60 * kB, passed: now.Add(-s), wholeBy: now.Add(-s)}, longWait},
+		"fast, and its time is not over":                   {answer{frame: byClose, taken: 60 * kB, passed: now.Add(-s), wholeBy: now.Add(s)}, s},
+		"fast at first, and it has stopped for a while: 0": {answer{frame: byChunks, taken: 60 * kB, passed: now.Add(-4 * s), wholeBy: now.Add(-s)}, -s},
+	} {
+		if got := c.a.patience(now).Sub(now).Round(time.Millisecond); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
