--- a/cmd/starlingvalve/endings_test.go
+++ b/cmd/starlingvalve/endings_test.go
@@ -39,7 +39,7 @@
 		}
 		return testkit.OK("x")
 	}))
-	t.Cleanup(n.answer) // before the server's
+	t.Cleanup(n.answer)                // before the server's
 	dir, err := os.MkdirTemp("", "sv") // a socket's path has to be short
 	if err != nil {
 		t.Fatal(err)
