Read again: one look for a client's end; set-ups of the endings' tests shared

Need: the change was read once more. clientConn.gone looked twice where bytes lay unread; the tests built runs of requests three times, settings of one deadline five times, waits for an event four times, a front without a loop twice, a connection with its answers twice. Every assertion stays. Measured: the touched packages and the process tests under the race detector pass; with gone answering no, TestLeftUnread and TestLeftBeforeTaken fail.

--- a/cmd/starlingvalve/endings_test.go
+++ b/cmd/starlingvalve/endings_test.go
@@ -56,6 +56,14 @@
 
 // open sends a request on a connection of its own; status waits for its answer.
 func (n *crossed) open(id string) (c net.Conn, status func() int) {
+	n.t.Helper()
+	c, status = n.dial()
+	n.write(c, id)
+	return c, status
+}
+
+// dial makes a connection; status waits for the next answer on it.
+func (n *crossed) dial() (c net.Conn, status func() int) {
 	n.t.Helper()
 	c, err := net.Dial("tcp", n.listen)
 	if err != nil {
@@ -63,13 +71,12 @@
 	}
 	n.t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(testkit.Patient))
-	n.write(c, id)
 	r := bufio.NewReader(c)
 	return c, func() int {
 		n.t.Helper()
 		resp, err := http.ReadResponse(r, nil)
 		if err != nil {
-			n.t.Errorf("%s has no answer: %v", id, err)
+			n.t.Errorf("no answer: %v", err)
 			return 0
 		}
 		io.Copy(io.Discard, resp.Body)
@@ -107,19 +114,14 @@
 // drains waits until the node has taken up that it is to end: it is not ready any more.
 func (n *crossed) drains() {
 	n.t.Helper()
-	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+	testkit.Until(n.t, "it stays ready", func() bool {
 		resp, err := http.Get("http://" + n.listen + "/health/ready")
 		if err != nil {
-			return // it takes no connection any more
+			return true // it takes no connection any more
 		}
 		resp.Body.Close()
-		if resp.StatusCode == http.StatusServiceUnavailable {
-			return
-		}
-		if time.Now().After(end) {
-			n.t.Fatal("it stays ready")
-		}
-	}
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
 }
 
 // rewrite puts another text into a process's configuration, and has it read.
@@ -282,22 +284,7 @@
 	t.Parallel()
 	n := newCrossed(t)
 	cmd := n.start()
-	kept, err := net.Dial("tcp", n.listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer kept.Close()
-	kept.SetDeadline(time.Now().Add(testkit.Patient))
-	r := bufio.NewReader(kept)
-	answer := func() int {
-		t.Helper()
-		resp, err := http.ReadResponse(r, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		io.Copy(io.Discard, resp.Body)
-		return resp.StatusCode
-	}
+	kept, answer := n.dial()
 	io.WriteString(kept, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
 	if got := answer(); got != 200 { // it is one of those that have been accepted
 		t.Fatalf("status %d", got)
--- a/internal/app/endings_test.go
+++ b/internal/app/endings_test.go
@@ -41,6 +41,15 @@
 	},
 }
 
+// within is settings whose classes all have this deadline.
+func within(deadline time.Duration) decide.Settings {
+	s := testkit.Settings()
+	for i := range s.Classes {
+		s.Classes[i].Deadline = deadline
+	}
+	return s
+}
+
 // underAll runs a test under each of them.
 func underAll(t *testing.T, f func(t *testing.T, s decide.Settings)) {
 	t.Parallel()
@@ -232,10 +241,7 @@
 func TestLeftBehindMore(t *testing.T) {
 	t.Parallel()
 	s := testkit.Settings()
-	more := ""
-	for i := range 120 { // beyond net/http's buffer of 4 KB
-		more += request(s.Classes[0], fmt.Sprint("behind", i), "9")
-	}
+	more := behind(s.Classes[0], 120) // beyond net/http's buffer of 4 KB
 	for how, end := range leave {
 		for what, behind := range map[string]string{"nothing": "", "a byte": "G", "a request": request(s.Classes[0], "behind", "9"), "many": more, "stray bytes": "\r\n\x00\r\n"} {
 			for _, class := range []int{0, 2} {
@@ -281,11 +287,8 @@
 	}))
 	n := start(t, &Config{Settings: s, Known: testkit.Known(addr)})
 	c := n.dial(t)
-	const behind = 700 // some 75 KB
-	text := ""
-	for i := range behind {
-		text += request(s.Classes[0], fmt.Sprint("behind", i), "9")
-	}
+	const count = 700
+	text := behind(s.Classes[0], count)
 	io.WriteString(c, request(s.Classes[0], "first", "9"))
 	go func() {
 		io.WriteString(c, text[:1])
@@ -293,7 +296,7 @@
 		close(release)
 		io.WriteString(c, text[50000:])
 	}()
-	for i := -1; i < behind; i++ {
+	for i := -1; i < count; i++ {
 		want := "first"
 		if i >= 0 {
 			want = fmt.Sprint("behind", i)
@@ -441,10 +444,7 @@
 // An answer that has begun, and stops, is ended with the node, so that its client can tell that it is not whole; the exit does not wait for it.
 func TestEndWithinAnswer(t *testing.T) {
 	t.Parallel()
-	s := testkit.Settings()
-	for i := range s.Classes {
-		s.Classes[i].Deadline = 3 * time.Second
-	}
+	s := within(3 * time.Second)
 	addr := testkit.Server(t, func(c net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
@@ -485,10 +485,7 @@
 // endWithinHead tells whether it shows anything: a machine that was late lets a head stall, and such a one is ended.
 func endWithinHead(t *testing.T) bool {
 	t.Helper()
-	s := testkit.Settings()
-	for i := range s.Classes {
-		s.Classes[i].Deadline = time.Second
-	}
+	s := within(time.Second)
 	server := newHolding(t, "held")
 	n := start(t, &Config{Settings: s, Known: testkit.Known(server.addr)})
 	n.waitReady(t, 200)
--- a/internal/app/leaving_test.go
+++ b/internal/app/leaving_test.go
@@ -29,19 +29,14 @@
 		t.Fatal(err)
 	}
 	const finWait2, closed = 5, 7 // the end has been acknowledged; the node has answered, and closed
-	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+	testkit.Until(t, "its end has not come", func() bool {
 		var info *unix.TCPInfo
 		raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
 		if err != nil {
 			t.Fatal(err)
 		}
-		if info.State == finWait2 || info.State == closed {
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatalf("its end has not come: state %d", info.State)
-		}
-	}
+		return info.State == finWait2 || info.State == closed
+	})
 }
 
 // lateNode is a node whose server's connections come up late, once it is let go, and only then: it is not probed, nor given up.
@@ -60,25 +55,20 @@
 	at := netip.MustParseAddrPort(addr)
 	ip := at.Addr().As4()
 	line := fmt.Sprintf(" %08X:%04X 02 ", binary.NativeEndian.Uint32(ip[:]), at.Port()) // 02: SYN_SENT
-	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+	testkit.Until(t, "nobody connects to "+addr, func() bool {
 		table, err := os.ReadFile("/proc/net/tcp")
 		if err != nil {
 			t.Fatal(err)
 		}
-		if strings.Contains(string(table), line) {
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatalf("nobody connects to %s", addr)
-		}
-	}
+		return strings.Contains(string(table), line)
+	})
 }
 
 // A client that leaves is noticed before its request goes out, also where its end can't be read up to: behind more than is read ahead, or behind a body
 // that nobody reads while its attempt waits for a connection. Both were written to the server once the handshake was done.
 func TestLeftUnread(t *testing.T) {
 	for what, text := range map[string]func(c decide.Class) string{
-		"more than is read ahead behind it": func(c decide.Class) string { return request(c, "left", "60") + behind(c, 108<<10) },
+		"more than is read ahead behind it": func(c decide.Class) string { return request(c, "left", "60") + behind(c, muchBehind) },
 		"a body that is still coming": func(c decide.Class) string {
 			return strings.Replace(request(c, "left", "60"), "Length: 0", "Length: 200000", 1) + strings.Repeat("x", 100<<10)
 		},
@@ -113,10 +103,13 @@
 	}
 }
 
-// behind is requests of so many bytes.
-func behind(c decide.Class, size int) string {
+// muchBehind is requests of some 108 KB: more than a node reads ahead, and not more than the kernel takes besides.
+const muchBehind = 690
+
+// behind is so many requests, behind0 and on.
+func behind(c decide.Class, n int) string {
 	var b strings.Builder
-	for i := 0; b.Len() < size; i++ {
+	for i := range n {
 		b.WriteString(request(c, fmt.Sprint("behind", i), "9"))
 	}
 	return b.String()
@@ -143,7 +136,7 @@
 	if id := <-came; id != "first" {
 		t.Fatal(id)
 	}
-	io.WriteString(c, behind(s.Classes[0], 108<<10))
+	io.WriteString(c, behind(s.Classes[0], muchBehind))
 	c.CloseWrite()
 	c.landed(t)
 	close(release)
@@ -158,10 +151,7 @@
 // longNode is a node whose server's answer is long, and as the test says, with a client that has asked for it. held is told if the node ends with connections held.
 func longNode(t *testing.T, deadline time.Duration, serve func(net.Conn)) (n *testNode, conf *Config, c client, held *bytes.Buffer) {
 	t.Helper()
-	s := testkit.Settings()
-	for i := range s.Classes {
-		s.Classes[i].Deadline = deadline
-	}
+	s := within(deadline)
 	conf, held = &Config{Settings: s, Known: testkit.Known(testkit.Server(t, serve))}, new(bytes.Buffer)
 	n = startLogged(t, conf, slog.New(slog.NewTextHandler(held, &slog.HandlerOptions{Level: slog.LevelWarn})))
 	n.waitReady(t, 200)
@@ -234,10 +224,7 @@
 		for _, moves := range []bool{false, true} {
 			t.Run(fmt.Sprint(size, " moves ", moves), func(t *testing.T) {
 				t.Parallel()
-				s := testkit.Settings()
-				for i := range s.Classes {
-					s.Classes[i].Deadline = 150 * time.Millisecond
-				}
+				s := within(150 * time.Millisecond)
 				server := newHolding(t)
 				n := start(t, &Config{Settings: s, Known: testkit.Known(server.addr)})
 				n.waitReady(t, 200)
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -420,21 +420,14 @@
 	if err != nil {
 		return true
 	}
-	look := []unix.PollFd{{Events: unix.POLLIN | unix.POLLRDHUP}}
+	look := []unix.PollFd{{Events: unix.POLLRDHUP}} // resets are told besides
 	if raw.Control(func(fd uintptr) {
 		look[0].Fd = int32(fd)
 		_, err = unix.Poll(look, 0)
 	}) != nil {
 		return true // it has been closed here
 	}
-	switch {
-	case err == nil && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0:
-		return true
-	case err == nil && look[0].Revents == 0:
-		return false
-	}
-	n, err := come(c.TCPConn, make([]byte, 1), syscall.MSG_PEEK) // where the system does not tell of the end before it is read up to
-	return n == 0 && err != syscall.EAGAIN && err != syscall.EINTR
+	return err == nil && look[0].Revents != 0
 }
 
 func (c *clientConn) follow(p []byte) int {
--- a/internal/front/http1/endings_test.go
+++ b/internal/front/http1/endings_test.go
@@ -19,11 +19,7 @@
 // come waits until something has come on a connection that nobody has read.
 func (c *clientConn) come(t *testing.T) {
 	t.Helper()
-	for end := time.Now().Add(testkit.Patient); !c.waiting(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("nothing has come")
-		}
-	}
+	testkit.Until(t, "nothing has come", c.waiting)
 }
 
 const head = "GET /read HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -121,21 +117,34 @@
 	}
 }
 
+// text is a request that is good.
+const text = "GET /read HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: a\r\nX-Time-Left: 9\r\n\r\n"
+
+// atDoor is a front behind a door. It has no loop: what would go on to one is a failure.
+func atDoor(a *admission) *Front {
+	return New(a.TCPListener, 3, front.NewHandler(nil, testkit.Settings(), 1<<20, testkit.Quiet), testkit.Quiet)
+}
+
+// serve runs it until end.
+func (f *Front) serve() (end func()) {
+	served := make(chan bool)
+	go func() { f.Serve(); close(served) }()
+	return func() { f.Close(); <-served }
+}
+
 // A request whose connection was evicted while it came is refused, and its client told; nothing of it goes on: there is no loop here to take it.
 func TestEvictedIsRefused(t *testing.T) {
 	t.Parallel()
-	const text = "GET /read HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: a\r\nX-Time-Left: 9\r\n\r\n"
 	for _, at := range []int{0, 1, len(text) - 1} {
 		a, dial, _ := doorstep(t, 3)
 		began := make(chan *clientConn, 1)
-		f := New(a.TCPListener, 3, front.NewHandler(nil, testkit.Settings(), 1<<20, testkit.Quiet), testkit.Quiet)
+		f := atDoor(a)
 		f.server.ConnState = func(c net.Conn, s http.ConnState) {
 			if f.door.track(c, s); s == http.StateNew {
 				began <- c.(*clientConn)
 			}
 		}
-		served := make(chan bool)
-		go func() { f.Serve(); close(served) }()
+		end := f.serve()
 		peer := dial()
 		c := <-began
 		io.WriteString(peer, text[:at])
@@ -152,8 +161,7 @@
 		if err != nil || resp.StatusCode != 503 || !resp.Close {
 			t.Errorf("at %d: %v %v; want a refusal", at, resp, err)
 		}
-		f.Close()
-		<-served
+		end()
 		if n := f.door.open.Load(); n != 0 {
 			t.Errorf("%d connections are open", n)
 		}
@@ -163,20 +171,17 @@
 // Nothing is begun for a request whose client had left before it was taken up, whatever it has sent behind it: there is no loop here to take it.
 func TestLeftBeforeTaken(t *testing.T) {
 	t.Parallel()
-	const text = "GET /read HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: a\r\nX-Time-Left: 9\r\n\r\n"
 	for _, behind := range []string{"", "G", text, strings.Repeat(text, 200)} { // the last is beyond net/http's buffer
 		a, dial, _ := doorstep(t, 3)
 		peer := dial()
 		io.WriteString(peer, text+behind)
 		peer.(*net.TCPConn).CloseWrite() // which waits in the listener's queue
-		f := New(a.TCPListener, 3, front.NewHandler(nil, testkit.Settings(), 1<<20, testkit.Quiet), testkit.Quiet)
-		served := make(chan bool)
-		go func() { f.Serve(); close(served) }()
+		f := atDoor(a)
+		end := f.serve()
 		resp, err := http.ReadResponse(bufio.NewReader(peer), nil)
 		if err != nil || resp.StatusCode != 400 || !resp.Close {
 			t.Errorf("%d bytes behind it: %v %v; want to be told that nothing comes", len(behind), resp, err)
 		}
-		f.Close()
-		<-served
+		end()
 	}
 }
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -19,6 +19,16 @@
 // Patient is how long a test waits for what must come, on a machine of any speed.
 const Patient = 20 * time.Second
 
+// Until waits for what has to become true, and fails the test with what has not.
+func Until(t *testing.T, not string, true func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patient); !true(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(not)
+		}
+	}
+}
+
 // Quiet is a log that nobody reads.
 var Quiet = slog.New(slog.DiscardHandler)
 
