--- /dev/null
+++ b/cmd/starlingvalve/unwatched_test.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/standin"
+	"starlingvalve/internal/standin/discovery"
+	"starlingvalve/internal/testkit"
+)
+
+const (
+	unwatchedGrace = 1500 * time.Millisecond // after a notification nothing more goes to a draining server
+	unwatchedSlack = 500 * time.Millisecond  // for a machine that is late
+	unwatchedWork  = 300 * time.Millisecond  // of discovery for one call: an answer comes slowly
+	unwatchedAfter = 5 * time.Second         // requests go on for so long after the drain
+)
+
+// unwatched is a process before two servers and a discovery of which the test has hold.
+type unwatched struct {
+	t       *testing.T
+	service *discovery.Service
+	caller  *discovery.Caller
+	servers []*standin.Server
+	cmd     *exec.Cmd
+	listen  string
+	asked   int
+}
+
+func newUnwatched(t *testing.T, nodes int) *unwatched {
+	t.Helper()
+	n := &unwatched{t: t}
+	var entries []standin.Entry
+	for i := range 2 {
+		s, err := standin.NewServer(standin.ServerOptions{Name: fmt.Sprintf("s-%08x", i+1), Zone: "z"}, map[string]standin.Work{"read": {Time: 3 * time.Millisecond, Bytes: 20}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		n.servers, entries = append(n.servers, s), append(entries, standin.EntryOf(s))
+	}
+	n.service = discovery.New(unwatchedWork, entries...)
+	t.Cleanup(n.service.Close)
+	n.caller = n.listenTo(n.service)
+	servers, err := json.Marshal(entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.cmd, _ = program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+		"known":{"version":1,"full":true,"servers":%s},"settings":{"balancers":%d,"membership_mode":"on_request",
+		"caps":{"connect_timeout_ns":2000000000,"cancel":true,"max_attempts":2},
+		"classes":[{"name":"read","effect":"retryable","give_up_ns":3000000000,"aim_ns":2500000000}],
+		"invariants":{"ask_within_ns":10000000000,"drain_grace_ns":%d}}}`, n.caller.Addr, servers, nodes, unwatchedGrace))
+	n.caller.Started(1)
+	lines, listen := begin(t, n.cmd)
+	go drain(lines)
+	n.listen = listen
+	return n
+}
+
+func drain(lines *bufio.Scanner) {
+	for lines.Scan() {
+	}
+}
+
+func (n *unwatched) listenTo(s *discovery.Service) *discovery.Caller {
+	n.t.Helper()
+	c, err := s.Listen("n0")
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return c
+}
+
+// requests makes some requests at once, so that both servers are used, and waits for their answers.
+func (n *unwatched) requests() {
+	const atOnce = 4
+	var open sync.WaitGroup
+	for range atOnce {
+		n.asked++
+		id := fmt.Sprint("id-", n.asked)
+		open.Go(func() { n.request(id) })
+	}
+	open.Wait()
+}
+
+// request makes one request. It need not be served: the process may have no server for it at the moment.
+func (n *unwatched) request(id string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.listen+"/read", nil)
+	if err != nil {
+		n.t.Error(err)
+		return
+	}
+	req.Header = http.Header{"X-Correlation-Id": {id}, "X-Time-Left": {"2.0"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		n.t.Error(err)
+		return
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+}
+
+// requestsUntil makes requests one after the other until something is so.
+func (n *unwatched) requestsUntil(what string, done func() bool) {
+	n.t.Helper()
+	for end := time.Now().Add(testkit.Patient); !done(); time.Sleep(5 * time.Millisecond) {
+		if n.requests(); time.Now().After(end) {
+			n.t.Fatal("waited in vain:", what)
+		}
+	}
+}
+
+// drainAfter has a server drain right after the next answer of discovery that has this many before it, and makes requests for a while. It
+// tells how many requests came to that server later than it may be sent any.
+func (n *unwatched) drainAfter(c *discovery.Caller, s *discovery.Service, answers int) (late int) {
+	n.t.Helper()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		for end := time.Now().Add(testkit.Patient); len(c.Answers()) <= answers && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		e := standin.EntryOf(n.servers[0])
+		e.State = "draining"
+		s.Set(e)
+	}()
+	n.requestsUntil("an answer", func() bool {
+		select {
+		case <-answered:
+			return true
+		default:
+			return false
+		}
+	})
+	if len(n.servers[0].Log()) == 0 {
+		n.t.Fatal("the server had no request before: nothing is shown")
+	}
+	over := time.Now().Add(unwatchedAfter)
+	n.requestsUntil("the end", func() bool { return time.Now().After(over) })
+	for _, told := range c.Notifications() {
+		if told.State != "draining" {
+			continue
+		}
+		log := n.servers[0].Log()
+		n.t.Logf("notified by: %s, answers: %d, last request %v after it", told.By, len(c.Answers()), log[len(log)-1].Got.Sub(told.At))
+		end := told.At.Add(unwatchedGrace + unwatchedSlack)
+		for _, x := range n.servers[0].Log() {
+			if x.Got.After(end) {
+				late++
+			}
+		}
+		return late
+	}
+	n.t.Fatal("the process was never notified: nothing is shown")
+	return 0
+}
+
+// A process has asked discovery, and the answer came slowly, as others were asking too. A server begins to drain right after that
+// answer. The process has to follow it, however it came to ask: at its start, after an outage that ended its watch, and after
+// a reload. It went on with its watch only 2.9 to 3.9 s later, and sent by the list before until then.
+func TestDrainRightAfterSlowAnswer(t *testing.T) {
+	t.Run("start", func(t *testing.T) {
+		t.Parallel()
+		n := newUnwatched(t, 6)
+		if late := n.drainAfter(n.caller, n.service, 0); late > 0 {
+			t.Errorf("%d requests went to a draining server after its grace", late)
+		}
+	})
+	t.Run("outage", func(t *testing.T) {
+		t.Parallel()
+		n := newUnwatched(t, 6)
+		n.requestsUntil("the first answer", func() bool { return len(n.caller.Answers()) > 0 })
+		n.service.SetFault(discovery.Fault{Down: true})
+		over := time.Now().Add(unwatchedAfter) // so long that no pause of the process lasts until its end
+		n.requestsUntil("the outage's end", func() bool { return time.Now().After(over) })
+		answers := len(n.caller.Answers())
+		n.service.SetFault(discovery.Fault{})
+		if late := n.drainAfter(n.caller, n.service, answers); late > 0 {
+			t.Errorf("%d requests went to a draining server after its grace", late)
+		}
+	})
+	t.Run("reload", func(t *testing.T) {
+		t.Parallel()
+		n := newUnwatched(t, 6)
+		n.requestsUntil("the first answer", func() bool { return len(n.caller.Answers()) > 0 })
+		_, entries := n.service.List()
+		other := discovery.New(unwatchedWork, entries...)
+		t.Cleanup(other.Close)
+		caller := n.listenTo(other)
+		caller.Started(1)
+		path := strings.TrimPrefix(n.cmd.Env[len(n.cmd.Env)-1], "GW_CONFIG=")
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(strings.Replace(string(raw), n.caller.Addr, caller.Addr, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		n.cmd.Process.Signal(syscall.SIGHUP)
+		if late := n.drainAfter(caller, other, 0); late > 0 {
+			t.Errorf("%d requests went to a draining server after its grace", late)
+		}
+	})
+}
