--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -32,10 +32,8 @@
 	firstWait   = time.Millisecond // the same in the call that begins one: the module waits for its answer
 	callSlack   = 3 * time.Second  // a call may wait its turn so long beyond that
 	dialWait    = time.Second
-	watchSlack  = time.Second             // a watch that is on has its turn: an answer later than this is none
-	crowdedWait = time.Second             // a call that discovery ends with 503 after so long, up to callSlack, has waited for its turn
-	slowAnswer  = time.Second / 4         // an answer that waits for no news and comes later than this has waited for its turn
-	turnsMost   = 3900 * time.Millisecond // other nodes are given after such an answer; as decide's askMost
+	watchSlack  = time.Second // a watch that is on has its turn: an answer later than this is none
+	crowdedWait = time.Second // a call that discovery ends with 503 after so long, up to callSlack, has waited for its turn
 	agentPause  = 50 * time.Millisecond
 	latestStart = 1 << 43 // ms; a later one would not fit the module's clock
 	registryURL = "/registry/instances"
@@ -110,7 +108,6 @@
 	first time.Duration // for an answer that does not wait for news
 	pause time.Duration // after a call that has failed
 	crowd time.Duration // after which a refusal means that a call has waited for its turn
-	turns time.Duration // at most, that other nodes are given after a first answer that came slowly
 }
 
 // draw gives the wait of one call.
@@ -131,7 +128,7 @@
 	nodes := time.Duration(s.Nodes)
 	watch := min(max(watchLeast, nodes*watchEach), watchMost)
 	return &Registry{addr: addr, log: log, asked: pacing{wait: watch, vary: min(nodes*waitSpread, time.Duration(waitDiffer*float64(watch))), slack: watchSlack,
-		first: callSlack, crowd: crowdedWait, turns: min(turnsMost, s.AskWithin/2)},
+		first: callSlack, crowd: crowdedWait},
 		pushed: pacing{wait: grace(2, 25*time.Millisecond, watchLeast), slack: grace(4, 25*time.Millisecond, watchSlack), first: grace(2, 50*time.Millisecond, watchSlack),
 			pause: grace(8, 10*time.Millisecond, watchSlack/5)},
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialWait}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
@@ -189,22 +186,31 @@
 var errOlder = errors.New("list: older than what this watch has told")
 
 // Watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
-// fails. With no version to begin at, it begins with the whole list. One that has fallen silent is broken, and is begun anew at once: what it
-// missed counts as told soon.
+// fails. With no version to begin at, it begins with the whole list. Each further call follows the answer before it at once: discovery ends a
+// watch whose next call comes later than 200 ms, and what changes in that time counts as notified. A watch that has fallen silent, or whose
+// answer is older than the one before, is broken, and is begun anew at once: what it missed counts as notified soon.
 func (d *Registry) Watch(ctx context.Context, since *uint64, news func(core.List)) error {
 	return d.watch(ctx, since, d.asked, news)
 }
 
 func (d *Registry) watch(ctx context.Context, since *uint64, p pacing, news func(core.List)) error {
 	var version uint64
+	renewed := false // because of an older answer, and no good one has followed the first one since
 	for first := true; ; {
 		asked := time.Now()
 		l, err := d.next(ctx, since, version, first, p)
-		if !first && silent(err) && ctx.Err() == nil {
-			d.log.Info("discovery: the watch has fallen silent; it is begun anew", "since", version)
-			d.Close() // what is kept to it may be silent too
-			since, first = new(version), true
-			continue
+		if !first && ctx.Err() == nil {
+			switch {
+			case silent(err):
+				d.log.Info("discovery: the watch has fallen silent; it is begun anew", "since", version)
+				d.Close() // what is kept to it may be silent too
+				since, first = new(version), true
+				continue
+			case errors.Is(err, errOlder) && !renewed:
+				d.log.Info("discovery: an answer is older than the one before; the whole list is asked for", "since", version, "revision", l.Version)
+				since, first, renewed = nil, true, true
+				continue
+			}
 		}
 		if err != nil {
 			return p.failed(err, first, time.Since(asked))
@@ -212,14 +218,10 @@
 		if first || l.Full || len(l.Entries) > 0 || l.Version != version {
 			news(l)
 		}
-		switch took := time.Since(asked); {
-		case first && took >= slowAnswer && p.turns > agentPause:
-			// Discovery has a queue, of nodes that it has told nothing yet. What this one has been told holds for as long as the settings give for
-			// asking, so its watch begins later.
-			pause(ctx, p.turns-rand.N(p.turns/4))
-		case !first && l.Version == version && took < agentPause:
+		if !first && l.Version == version && time.Since(asked) < agentPause {
 			pause(ctx, agentPause) // an agent may answer at once, always: that must not become a busy loop
 		}
+		renewed = renewed && first
 		version, first = l.Version, false
 	}
 }
@@ -249,7 +251,7 @@
 	case err != nil || l.Version >= version:
 		return l, err
 	case !first:
-		return core.List{}, errOlder
+		return l, errOlder
 	case !l.Full:
 		return d.fetch(ctx, p.first)
 	}
