--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -51,11 +51,16 @@
 		Long: "A load-balancing proxy node. GW_CONFIG names its configuration; GW_NAME, GW_LISTEN and GW_DISCOVERY go before the file.",
 		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 		RunE: func(*cobra.Command, []string) error {
-			return run(files, slog.New(slog.NewTextHandler(log, nil)))
+			var level slog.Level
+			if err := level.UnmarshalText([]byte(files.level)); err != nil {
+				return fmt.Errorf("-log-level: %w", err)
+			}
+			return run(files, slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: level})))
 		}}
 	root.Flags().StringVar(&files.gateway, "gateway", "", "hand work to other sites as this `FILE` says (see deploy/gateway.toml)")
 	root.Flags().StringVar(&files.record, "record", "", "record what arrives as this `FILE` says (see deploy/record.toml)")
 	root.Flags().StringVar(&files.fleet, "fleet", "", "agree with other nodes on what may be out, as this `FILE` says (see deploy/fleet.toml)")
+	root.Flags().StringVar(&files.level, "log-level", "info", "log from this `LEVEL` on; debug has a line for each decision on a request")
 	root.AddCommand(
 		&cobra.Command{Use: "check FILE", Short: "Check all of a gateway, fleet, supervisor's, record or release file, certificates included", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
@@ -106,8 +111,8 @@
 	return root
 }
 
-// files are what the flags name; empty: not there.
-type files struct{ gateway, record, fleet string }
+// files are what the flags name: paths, where an empty one is not there, and the level of the log.
+type files struct{ gateway, record, fleet, level string }
 
 // has tells whether a file has a table: by these its kind is known.
 func has(path, table string) bool {
@@ -122,7 +127,7 @@
 		if a == "--" {
 			break
 		}
-		if strings.HasPrefix(a, "-gateway") || strings.HasPrefix(a, "-record") || strings.HasPrefix(a, "-fleet") {
+		if strings.HasPrefix(a, "-gateway") || strings.HasPrefix(a, "-record") || strings.HasPrefix(a, "-fleet") || strings.HasPrefix(a, "-log-level") {
 			out[i] = "-" + a
 		}
 	}
--- a/cmd/starlingvalve/stats_test.go
+++ b/cmd/starlingvalve/stats_test.go
@@ -100,7 +100,7 @@
 		}
 		now := n.figures()
 		for name, v := range now {
-			if v < last[name] && name != "gw.current" && !strings.HasPrefix(name, "gw.cluster") {
+			if v < last[name] && name != "gw.current" && !strings.HasPrefix(name, "gw.cluster") && !strings.HasPrefix(name, "gw.list.") { // gauges
 				t.Errorf("%s went from %d to %d", name, last[name], v)
 			}
 		}
--- a/decide/api.go
+++ b/decide/api.go
@@ -316,6 +316,8 @@
 		ID      RequestID
 		Server  ServerID
 		Timeout time.Duration // 0: until the client stops waiting
+		// ColdMost is what all nodes together may send the server within OverloadTime, if it is in slow start; 0: it is not.
+		ColdMost int
 	}
 	// Refuse is a final answer: a new try does no harm.
 	Refuse struct {
--- a/decide/coldbudget.go
+++ b/decide/coldbudget.go
@@ -7,6 +7,7 @@
 const (
 	coldStart = 4.0  // 1/s, of all nodes to a cold server with no warm one to compare
 	coldPeak  = 0.5  // of m.peak: a cold server's part is of so much at least
+	coldFew   = 30.0 // requests; below, the bound leaves more to chance
 	coldSaved = 0.25 // of this node's part of the bound: what a budget saves up beyond one request
 )
 
@@ -22,14 +23,35 @@
 	if s.cold = s.cold && m.warmth(s) < 1; !s.cold {
 		return false
 	}
-	rate := m.coldRate(s)
-	s.tokens, s.tokensAt = s.tokens+rate*(m.now-s.tokensAt).Seconds(), m.now
-	nodes := math.Max(1, float64(m.set.Nodes*len(m.near))/math.Max(1, float64(len(m.ring)))) // that meet a server
-	n := m.set.OverloadFactor * m.set.OverloadTime.Seconds() * rate * nodes                  // N, of all of them
+	s.tokens, s.tokensAt = s.tokens+m.coldRate(s)*(m.now-s.tokensAt).Seconds(), m.now
+	nodes := m.meeting()
+	n := m.coldAllowed(s)
 	s.tokens -= math.Max(0, math.Ceil(s.tokens-1-coldSaved*(n+2*math.Sqrt(n)+2)/nodes))
 	return s.tokens < 1 || !s.near
 }
 
+// meeting is the number of nodes whose subsets contain a server.
+func (m *Module) meeting() float64 {
+	return math.Max(1, float64(m.set.Nodes*len(m.near))/math.Max(1, float64(len(m.ring))))
+}
+
+// coldAllowed is the number of requests that the settings allow a cold server within OverloadTime, from all nodes.
+func (m *Module) coldAllowed(s *server) float64 {
+	return m.set.OverloadFactor * m.set.OverloadTime.Seconds() * m.coldRate(s) * m.meeting()
+}
+
+// coldMost is the most that all nodes may send a cold server within OverloadTime, chance included; 0: it is warm.
+func (m *Module) coldMost(s *server) int {
+	if !s.cold || m.warmth(s) >= 1 {
+		return 0
+	}
+	n := m.coldAllowed(s)
+	if n < coldFew {
+		return int(n + 3*math.Sqrt(n) + 3)
+	}
+	return int(n + 2*math.Sqrt(n) + 2)
+}
+
 // warmth is how much of ColdTime has passed since a server started, from 0 to 1.
 func (m *Module) warmth(s *server) float64 {
 	return math.Min(1, math.Max(0, (m.now-s.coldSince).Seconds()/math.Max(m.set.ColdTime.Seconds(), 1e-9)))
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -611,7 +611,7 @@
 		m.await(s)
 	}
 	m.place(s)
-	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
+	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now), ColdMost: m.coldMost(s)})
 	return true
 }
 
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -18,12 +18,14 @@
 	"starlingvalve/internal/descriptors"
 	"starlingvalve/internal/front"
 	"starlingvalve/internal/front/http1"
+	"starlingvalve/internal/guard"
 	"starlingvalve/internal/handover"
 	"starlingvalve/internal/health"
 	"starlingvalve/internal/member/registry"
 	"starlingvalve/internal/ops"
 	"starlingvalve/internal/peer"
 	"starlingvalve/internal/recorder"
+	"starlingvalve/internal/serverlist"
 	"starlingvalve/internal/stats"
 	"starlingvalve/internal/trace"
 	upstream "starlingvalve/internal/upstream/http1"
@@ -56,6 +58,7 @@
 	split   descriptors.Split
 
 	figures   *stats.Figures
+	guard     *guard.Guard
 	transport *upstream.Transport
 	gate      *gate // nil: nothing crosses
 	loop      *core.Loop
@@ -64,7 +67,9 @@
 	takeover  *takeover
 	peers     *peer.Peers
 	second    *net.TCPListener // the second address; nil: there is none
-	parts     parts
+
+	violations atomic.Int64 // of the guard's rules
+	parts      parts
 }
 
 // serve puts a node together and has it run until ctx ends and what has been taken by then is answered.
@@ -116,6 +121,7 @@
 			log.Warn("what the predecessor knew is not taken", "err", err)
 		} else {
 			c.Known, learned, elsewhere = k.List, k.Learned, k.elsewhere(c.Discovery)
+			c.Known.Source = serverlist.SourcePredecessor
 		}
 	}
 	var err error
@@ -131,7 +137,8 @@
 	if s.peers != nil {
 		a.peers = peer.New(s.peers, c.Peers, c.PeersAll, c.Settings.Self, log)
 	}
-	a.transport = upstream.New(c.Settings, c.Limits.MemoryMB, a.split.Servers, log)
+	a.guard = guard.New(c.Settings.DrainGrace, a.logViolation)
+	a.transport = upstream.New(c.Settings, c.Limits.MemoryMB, a.split.Servers, a.guard, log)
 	if c.Gateway != nil {
 		if a.gate, err = openGate(c, log); err != nil {
 			return err
@@ -182,6 +189,17 @@
 	return nil
 }
 
+// violationsLogged bounds the lines about rules that were broken; the figures count them all.
+const violationsLogged = 100
+
+// logViolation says that a rule was broken although the guard was asked.
+func (a *assembly) logViolation(r guard.Rule, t guard.Attempt) {
+	if a.violations.Add(1) > violationsLogged {
+		return
+	}
+	a.log.Error("rule broken", "rule", r.String(), "deadline", t.Deadline, "off since", t.OffSince, "told", t.Told, "sent", t.Now)
+}
+
 func (a *assembly) add(p ...part) { a.parts = append(a.parts, p...) }
 
 // decisions makes the loop and the front that hands it requests.
@@ -194,14 +212,15 @@
 	settings := c.Settings
 	settings.TellShort = a.gate != nil
 	a.figures = stats.New(classNames(settings))
+	a.figures.Guarded(a.guard)
 	var err error
 	a.loop, err = core.New(ctx, core.Options{Remote: a.gate.remote(), Settings: settings, Seed: c.Seed, Transport: a.transport, Members: registry.New(c.Discovery, settings, log),
-		Messenger: messenger, Figures: a.figures, Learned: learned, Log: log})
+		Messenger: messenger, Figures: a.figures, Learned: learned, Guard: a.guard, Log: log})
 	if err != nil {
 		return err
 	}
 	a.handler = front.NewHandler(a.loop, c.Settings, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
-	a.handler.Figures = a.figures
+	a.handler.Figures, a.handler.Guard = a.figures, a.guard
 	if c.Record != nil {
 		a.record()
 	}
--- a/internal/core/endings_test.go
+++ b/internal/core/endings_test.go
@@ -58,12 +58,12 @@
 		l.fetched(f, List{Version: 3, Full: true, Entries: oneServer}, nil)
 		l.fetched(newFakes(), List{Version: 30, Full: true, Entries: oneServer}, nil)
 	})
-	if l.Able() || *l.version != 9 {
-		t.Errorf("version %d is in force", *l.version)
+	if l.Able() || *l.view.Revision() != 9 {
+		t.Errorf("version %d is in force", *l.view.Revision())
 	}
 	l.post(func() { l.fetched(f, List{Version: 10, Full: true, Entries: oneServer}, nil) })
-	if !l.Able() || *l.version != 10 {
-		t.Errorf("a newer one is not taken: version %d", *l.version)
+	if !l.Able() || *l.view.Revision() != 10 {
+		t.Errorf("a newer one is not taken: version %d", *l.view.Revision())
 	}
 }
 
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"starlingvalve/internal/guard"
 )
 
 // WriteHTTP puts a request into the form that it has on a connection. All its parts have been read by net/http, which
@@ -31,6 +33,7 @@
 	if x.Upload != nil {
 		left = x.Upload.Patience
 	}
+	x.Told = left
 	to.Write(strconv.AppendFloat(to.AvailableBuffer(), left.Seconds(), 'f', 3, 64))
 	if x.Upload != nil && x.Upload.Length < 0 {
 		to.WriteString("\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -53,6 +56,12 @@
 	to.Write(x.Body)
 }
 
+// Facts are what an exchange tells the guard of its attempt. age is how old a look at the client may be.
+func (x *Exchange) Facts(now time.Time, age time.Duration) guard.Attempt {
+	return guard.Attempt{Now: now, Probe: x.Probe, Told: x.Told, Deadline: x.Deadline, Patience: x.Whole, Departed: x.Left != nil && x.Left(age),
+		Effect: x.Effect, MayHaveRun: x.MayHaveRun, WriteBy: x.WriteBy}
+}
+
 // LookAge is how old a look at a client may be as an attempt begins for it. Nothing may begin later than 0.1 s after a client has left, and most
 // attempts begin sooner than LookAge after their request has come, and so without another look.
 const LookAge = 20 * time.Millisecond
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -1,35 +1,19 @@
 package core
 
-import "starlingvalve/decide"
+import (
+	"starlingvalve/decide"
+	"starlingvalve/internal/serverlist"
+)
 
-// Held is what is drained whatever membership says: servers, and all those of zones.
-type Held struct {
-	Servers map[decide.ServerID]bool
-	Zones   map[string]bool
-}
-
-func (h Held) has(e Entry) bool { return h.Servers[e.ID] || h.Zones[e.Zone] }
+// Held is what is cordoned whatever membership says: servers, and all those of zones.
+type Held = serverlist.Cordon
 
 // Hold drains these servers in place of those that were held before: nothing new goes to them from here on. It changes nothing for
 // servers that stay held or stay free.
 func (l *Loop) Hold(h Held) {
 	l.post(func() {
-		was, changed := l.held, false
-		l.held = h
-		all := List{Full: true}
-		if l.version != nil {
-			all.Version = *l.version
-		}
-		l.ready = 0
-		for _, e := range l.listed {
-			changed = changed || e.State == decide.Ready && was.has(e) != h.has(e)
-			if l.effective(e).State == decide.Ready {
-				l.ready++
-			}
-			all.Entries = append(all.Entries, e)
-		}
-		if changed { // as the list of a start: it answers none of the module's calls
-			l.take(all, decide.ListCached)
+		if u := l.view.SetCordon(h); len(u.Transitions) > 0 { // as the list of a start: it answers none of the module's calls
+			l.enforce(u, decide.ListCached)
 		}
 	})
 }
@@ -40,7 +24,7 @@
 	ok = l.post(func() {
 		for _, r := range l.requests {
 			for _, t := range r.attempts {
-				e, listed := l.listed[t.server]
+				e, listed := l.view.Entry(t.server)
 				if !t.ended && (h.Servers[t.server] || listed && h.Zones[e.Zone] || !listed && len(h.Zones) > 0) {
 					n++
 				}
@@ -60,18 +44,10 @@
 func (l *Loop) Suspects() (names []string) {
 	l.post(func() {
 		for _, id := range l.module.Suspects() {
-			if e, ok := l.listed[id]; ok && e.Name != "" {
+			if e, ok := l.view.Entry(id); ok && e.Name != "" {
 				names = append(names, e.Name)
 			}
 		}
 	})
 	return names
 }
-
-// effective is an entry as it is in force: a held server drains.
-func (l *Loop) effective(e Entry) Entry {
-	if e.State == decide.Ready && l.held.has(e) {
-		e.State = decide.Draining
-	}
-	return e
-}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -7,12 +7,13 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/guard"
+	"starlingvalve/internal/serverlist"
 	"starlingvalve/internal/stats"
 )
 
@@ -48,7 +49,9 @@
 	figures   *stats.Figures
 	learned   *decide.Snapshot // of the process before this one; nil: none
 	log       *slog.Logger
-	lag       *lagMeter // nil: not measured
+	debug     bool         // each decision on a request is logged
+	guard     *guard.Guard // nil: nothing is counted
+	lag       *lagMeter    // nil: not measured
 
 	ctx   context.Context // of all that the loop sets going
 	begun chan struct{}   // closed once the list of the start is taken in
@@ -66,10 +69,7 @@
 	timers    timerHeap
 	queue     []decide.Event
 	handling  bool
-	listed    map[decide.ServerID]Entry // but for those that are gone; as membership tells them
-	held      Held                      // drained all the same
-	ready     int                       // of the listed ones, those that are in force as ready
-	version   *uint64                   // of the list; nil if discovery has moved and not told it yet
+	view      *serverlist.View
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
 }
@@ -84,6 +84,7 @@
 	Remote    Remote           // nil: what this hall refuses is refused
 	Figures   *stats.Figures   // nil: nothing is counted
 	Learned   *decide.Snapshot // what the module begins with; nil: nothing
+	Guard     *guard.Guard     // nil: nothing is counted
 	Log       *slog.Logger
 }
 
@@ -104,7 +105,7 @@
 	return &Loop{classes: classes, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
 		messenger: o.Messenger, remote: o.Remote, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
 		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{},
-		figures: o.Figures, learned: o.Learned, listed: map[decide.ServerID]Entry{}}, nil
+		figures: o.Figures, learned: o.Learned, guard: o.Guard, view: serverlist.NewView(), debug: o.Log.Enabled(ctx, slog.LevelDebug)}, nil
 }
 
 // Headroom is the number of requests more that the servers would take while all stay calm: see decide.Module.Headroom.
@@ -115,15 +116,7 @@
 
 // Listed is the list as this node has it now. It is not whole if it was never told, or has moved and is not told yet.
 func (l *Loop) Listed() (list List) {
-	l.post(func() {
-		if l.version == nil {
-			return
-		}
-		list.Version, list.Full = *l.version, true
-		for _, e := range l.listed {
-			list.Entries = append(list.Entries, e)
-		}
-	})
+	l.post(func() { list, _ = l.view.List() })
 	return list
 }
 
@@ -168,6 +161,9 @@
 	defer l.EndBy(time.Time{})
 	l.mu.Lock()
 	known.Full = true
+	if known.Source == serverlist.SourceNone {
+		known.Source = serverlist.SourceCache
+	}
 	l.follow(known, decide.ListCached)
 	if l.learned != nil {
 		if err := l.module.Restore(l.now(), *l.learned); err != nil {
@@ -204,7 +200,9 @@
 
 // publish sets the figures of the servers: those that drain are avoided, and those that the module avoids.
 func (l *Loop) publish() {
-	l.figures.Cluster(len(l.listed), len(l.listed)-l.ready+l.module.Avoided())
+	listed, ready := l.view.Size()
+	l.figures.Cluster(listed, listed-ready+l.module.Avoided())
+	l.publishList()
 }
 
 func (l *Loop) setAlarm() {
@@ -235,6 +233,9 @@
 	case decide.Send:
 		l.send(a)
 	case decide.Refuse:
+		if l.debug {
+			l.log.Debug("refuse", "request", a.ID, "for", a.Reason)
+		}
 		refusal := Answer{Status: http.StatusServiceUnavailable, HoldOff: a.HoldOff, Reason: a.Reason}
 		if !l.cross(a.ID, refusal) {
 			l.finish(a.ID, refusal)
@@ -398,17 +399,23 @@
 		return
 	}
 	now := time.Now()
+	effect, mayHaveRun := l.classes[r.Arrived.Class].Effect, r.mayHaveRun()
 	ctx, cancel := context.WithCancel(l.ctx)
 	t := &attempt{sent: now, cancel: cancel, server: a.Server}
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, t)
 	r.out++
-	if r.over || l.ending || n >= max(1, l.settings.MaxAttempts) || !now.Before(r.Deadline) {
-		l.over(a, n, Result{Code: decide.Moot})
+	refused := l.guard.May(guard.Attempt{Now: now, Deadline: r.Deadline, Patience: r.Deadline, Over: r.over || l.ending || n >= max(1, l.settings.MaxAttempts),
+		Effect: effect, MayHaveRun: mayHaveRun})
+	if refused != guard.None {
+		l.over(a, n, Result{Code: decide.Moot, Err: refused})
 		return
 	}
+	if l.debug {
+		l.log.Debug("send", "request", a.ID, "attempt", n, "server", a.Server, "left", time.Until(r.Deadline), "list age", l.view.Age(now))
+	}
 	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Deadline: r.Deadline, Whole: r.Deadline, Wanted: r.wanted, Left: r.Left,
-		Written: l.figures.Sent}
+		Effect: effect, MayHaveRun: mayHaveRun, ColdMost: a.ColdMost, Written: l.figures.Sent}
 	if a.Timeout != 0 && now.Add(a.Timeout).Before(r.Deadline) {
 		x.Deadline = now.Add(a.Timeout)
 	}
@@ -467,8 +474,9 @@
 		r.answer <- Answer{Status: res.Client}
 		r.over = true
 	}
-	if res.Err != nil {
-		l.log.Debug("attempt", "id", a.ID, "server", a.Server, "code", res.Code, "err", res.Err)
+	l.figures.Ended(int(res.Code))
+	if l.debug {
+		l.log.Debug("attempt ended", "request", a.ID, "attempt", n, "server", a.Server, "code", res.Code, "took", time.Since(t.sent), "over", r.over, "err", res.Err)
 	}
 	if r.over {
 		l.close(r)
@@ -563,9 +571,9 @@
 		return
 	}
 	ctx, current := l.watching()
-	d, since := l.members, l.version
+	d, since := l.members, l.view.Revision()
 	l.work.Go(func() {
-		err := d.Watch(ctx, since, func(n List) { current(func() { l.watchOpen = true; l.news(n) }) })
+		err := d.Watch(ctx, since, func(n List) { current(func() { l.answered(n) }) })
 		current(func() { l.unwatch(); l.told(List{}, err) })
 	})
 }
@@ -573,8 +581,8 @@
 // listen keeps a watch where lists are pushed and so nobody asks for one.
 func (l *Loop) listen() {
 	ctx, current := l.watching()
-	d, since := l.members, l.version
-	l.work.Go(func() { d.Follow(ctx, since, func(n List) { current(func() { l.news(n) }) }) })
+	d, since := l.members, l.view.Revision()
+	l.work.Go(func() { d.Follow(ctx, since, func(n List) { current(func() { l.answered(n) }) }) })
 }
 
 // watching gives what a new watch needs: a context, and a way into the loop for as long as it is not ended.
@@ -595,6 +603,8 @@
 		l.endWatch()
 		l.endWatch = nil
 	}
+	l.view.Unwatch(time.Now())
+	l.guard.Watched(l.view.Watched())
 }
 
 // Move has membership come from another source, the whole list first: its versions need not go on from those
@@ -604,7 +614,8 @@
 	l.post(func() {
 		l.unwatch()
 		l.members.Close()
-		l.members, l.version = to, nil
+		l.members = to
+		l.view.Moved(time.Now())
 		if l.settings.AskForList {
 			l.handle(decide.ListUpdate{Kind: decide.ListFailed})
 		} else {
@@ -618,9 +629,10 @@
 	switch {
 	case d != l.members:
 		n, err = List{}, errors.New("discovery has moved")
-	case err == nil && l.endWatch != nil && l.version != nil && n.Version < *l.version:
+	case err == nil && l.endWatch != nil && l.view.Revision() != nil && n.Version < *l.view.Revision():
 		return // the watch that is kept has told newer news
 	}
+	n.Source = serverlist.SourceCall
 	l.told(n, err)
 }
 
@@ -638,55 +650,6 @@
 	l.news(n)
 }
 
-func (l *Loop) news(n List) {
-	kind := decide.ListChanges
-	if n.Full {
-		kind = decide.ListFull
-	}
-	l.follow(n, kind)
-}
-
-// follow takes a list: connections first, so that nothing goes where the list says no.
-func (l *Loop) follow(n List, kind decide.ListKind) {
-	l.version = &n.Version
-	if n.Full {
-		clear(l.listed)
-		l.ready = 0
-	}
-	for _, s := range n.Entries {
-		if was, ok := l.listed[s.ID]; ok && l.effective(was).State == decide.Ready {
-			l.ready--
-		}
-		delete(l.listed, s.ID)
-		if s.State != decide.Gone {
-			l.listed[s.ID] = s
-		}
-		if l.effective(s).State == decide.Ready {
-			l.ready++
-		}
-	}
-	l.take(n, kind)
-}
-
-// take puts a list, or a part of it, in force.
-func (l *Loop) take(n List, kind decide.ListKind) {
-	e := decide.ListUpdate{Kind: kind, Version: n.Version}
-	holds := len(l.held.Servers)+len(l.held.Zones) > 0
-	if holds {
-		n.Entries = slices.Clone(n.Entries)
-	}
-	for i := range n.Entries {
-		if holds {
-			n.Entries[i] = l.effective(n.Entries[i])
-		}
-		e.Entries = append(e.Entries, n.Entries[i].Server)
-	}
-	l.transport.Update(n)
-	l.able.Store(l.ready > 0)
-	l.handle(e)
-	l.publish()
-}
-
 // runningTimer is a SetTimer that is running.
 type runningTimer struct {
 	at    time.Time
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/serverlist"
 )
 
 // Front serves clients by one protocol. It hands each request that is well formed to Loop.Do, and writes the one
@@ -49,9 +50,8 @@
 type Membership interface {
 	// Fetch gives the whole list once.
 	Fetch(ctx context.Context) (List, error)
-	// Watch hands on what is newer than a version (all, if nil), the first answer even if it holds nothing, until a
-	// call fails or ctx ends. Where it was a call that
-	// waits for no news, the error is a CallError.
+	// Watch hands on what is newer than a version (all, if nil), with answers that hold nothing, until a call fails or ctx
+	// ends. Where it was a call that waits for no news, the error is a CallError.
 	Watch(ctx context.Context, since *uint64, news func(List)) error
 	// Follow is a Watch that is begun again whenever it fails, until ctx ends.
 	Follow(ctx context.Context, since *uint64, news func(List))
@@ -114,18 +114,10 @@
 func (noMessenger) Send(int, bool, []byte) {}
 
 // List is what membership tells: all servers, or those that changed.
-type List struct {
-	Version uint64
-	Full    bool
-	Entries []Entry
-}
+type List = serverlist.List
 
 // Entry is a server of a List.
-type Entry struct {
-	decide.Server
-	Name string `json:",omitempty"` // as membership has it
-	Addr string // IP:port
-}
+type Entry = serverlist.Entry
 
 // Exchange is one request as it goes to a server.
 type Exchange struct {
@@ -136,6 +128,13 @@
 	Deadline time.Time // the node waits no longer
 	Whole    time.Time // an answer of 64 KiB at most that is passed on as it comes has come whole by then; zero: Deadline
 	WriteBy  time.Time // if set, nothing is written from then on
+
+	Probe      bool          // a health check, of no request
+	Effect     decide.Effect // of the request's class
+	MayHaveRun bool          // an earlier attempt of the request
+	ColdMost   int           // while the server is in slow start: what all nodes may send it in one window; 0: it is warm
+	Told       time.Duration // the time that the server has been told, once the head is made
+
 	// Wanted, if set, ends with the request. From then on nothing is sent for it that has not begun to be: that calls off nothing, and is
 	// no matter of the settings.
 	Wanted  context.Context
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -18,6 +18,7 @@
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
+	"starlingvalve/internal/guard"
 	"starlingvalve/internal/pace"
 	"starlingvalve/internal/stats"
 )
@@ -54,6 +55,8 @@
 	// Seen, if set, is told of each request that was handed to the loop, once its client has been answered or has gone. It must not
 	// block.
 	Seen func(*Seen)
+	// Guard, if set, is told of each request that was read whole, once it is over.
+	Guard *guard.Guard
 	// Figures, if set, count the requests of each class by their ends.
 	Figures *stats.Figures
 
@@ -179,6 +182,9 @@
 		f.Figures.Taken(1)
 		defer f.Figures.Taken(-1)
 	}
+	watched := &answering{ResponseWriter: w}
+	w = watched
+	defer func() { f.Guard.Ended(watched.answered) }()
 	began := time.Now() // no later than the look
 	if f.Gone != nil && f.Gone(r) {
 		reject(w, http.StatusBadRequest, "the client has closed") // or its own direction only
@@ -235,6 +241,21 @@
 	answer(a)
 }
 
+// answering notes whether an answer has begun.
+type answering struct {
+	http.ResponseWriter
+	answered bool
+}
+
+// WriteHeader is http.ResponseWriter's.
+func (a *answering) WriteHeader(status int) {
+	a.answered = true
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap is for http.ResponseController.
+func (a *answering) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
 // turnAway answers what has not been taken. One from another site, whose own checks it has passed, does not fit this
 // site's settings: that is no fault of its client's, and its own site answers it.
 func (f *Handler) turnAway(w http.ResponseWriter, status int, fault string) {
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,189 @@
+package guard
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"starlingvalve/decide"
+)
+
+const grace = 500 * time.Millisecond
+
+var now = time.Now()
+
+// good is an attempt that breaks no rule.
+func good() Attempt {
+	return Attempt{Now: now, Told: time.Second, Deadline: now.Add(time.Second), Patience: now.Add(time.Second), Effect: decide.Unsafe}
+}
+
+// planted is, for each rule of attempts, a fault that breaks it: what Check has to refuse, and what Sent has to count.
+var planted = map[Rule]struct{ before, after func(*Attempt) }{
+	Duplicate: {
+		func(a *Attempt) { a.MayHaveRun = true },
+		func(a *Attempt) { a.MayHaveRun = true },
+	},
+	Drain: {
+		func(a *Attempt) { a.OffSince = now },
+		func(a *Attempt) { a.OffSince = now.Add(-grace - time.Millisecond) },
+	},
+	Failback: {
+		func(a *Attempt) { a.ColdSent, a.ColdMost = 9, 8 },
+		func(a *Attempt) { a.ColdSent, a.ColdMost = 9, 8 },
+	},
+	Deadline: {
+		func(a *Attempt) { a.Deadline = now },
+		func(a *Attempt) { a.Told = time.Second + DeadlineSlack + time.Millisecond },
+	},
+	Departed: {
+		func(a *Attempt) { a.Departed = true },
+		func(a *Attempt) { a.Departed = true },
+	},
+}
+
+// Each rule has a fault that the guard refuses before, and counts after; nothing else is refused or counted for it.
+func TestEachRuleCatchesItsFault(t *testing.T) {
+	t.Parallel()
+	for _, r := range Each() {
+		if r == Lost {
+			continue // of requests, below
+		}
+		t.Run(r.String(), func(t *testing.T) {
+			t.Parallel()
+			var reported []Rule
+			g := New(grace, func(r Rule, _ Attempt) { reported = append(reported, r) })
+			before, after := good(), good()
+			if got := g.May(before); got != None {
+				t.Fatalf("a good attempt is refused: %v", got)
+			}
+			g.Sent(before, before.Now)
+			planted[r].before(&before)
+			if got := g.May(before); got != r {
+				t.Errorf("refused for %v", got)
+			}
+			planted[r].after(&after)
+			g.Sent(after, after.Now)
+			for _, other := range Each() {
+				refused, violated := g.Counts(other)
+				if want := int64(len(slices.DeleteFunc([]Rule{r}, func(x Rule) bool { return x != other }))); refused != want || violated != want {
+					t.Errorf("%v: refused %d, broken %d, want %d each", other, refused, violated, want)
+				}
+			}
+			if !slices.Equal(reported, []Rule{r}) || g.Violations() != 1 {
+				t.Errorf("reported %v, %d violations", reported, g.Violations())
+			}
+		})
+	}
+}
+
+// A request that ends without an answer is lost.
+func TestLostIsCounted(t *testing.T) {
+	t.Parallel()
+	g := New(grace, nil)
+	g.Ended(true)
+	g.Ended(false)
+	if _, violated := g.Counts(Lost); violated != 1 {
+		t.Errorf("%d, want 1", violated)
+	}
+}
+
+// What may not be refused: the bounds of each rule.
+func TestBounds(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(*Attempt){
+		"safe again":            func(a *Attempt) { a.Effect, a.MayHaveRun = decide.Safe, true },
+		"keyed, in its window":  func(a *Attempt) { a.Effect, a.MayHaveRun, a.WriteBy = decide.Keyed, true, now.Add(1) },
+		"just in time":          func(a *Attempt) { a.Deadline = now.Add(1) },
+		"cold, its last one":    func(a *Attempt) { a.ColdSent, a.ColdMost = 8, 8 },
+		"a probe has no client": func(a *Attempt) { a.Probe, a.Patience, a.MayHaveRun = true, time.Time{}, true },
+	} {
+		a := good()
+		change(&a)
+		g := New(grace, nil)
+		if r := g.May(a); r != None {
+			t.Errorf("%s: refused for %v", name, r)
+		}
+		if g.Sent(a, a.Now); g.Violations() != 0 {
+			t.Errorf("%s: counted", name)
+		}
+	}
+	a := good()
+	a.Effect, a.MayHaveRun, a.WriteBy = decide.Keyed, true, now
+	if r := Check(a); r != Duplicate {
+		t.Errorf("a key after its window: %v", r)
+	}
+	a = good()
+	a.OffSince = now.Add(-grace)
+	g := New(grace, nil)
+	if g.Sent(a, now); g.Violations() != 0 {
+		t.Error("within the grace, as the server began to drain after the check: counted")
+	}
+}
+
+// The incident: a watch that was resumed too late brings a drain. What was sent after the grace is counted then, and attempts
+// that are sent meanwhile count as sent by a list that nothing keeps fresh.
+func TestSentBeforeItWasKnown(t *testing.T) {
+	t.Parallel()
+	g := New(grace, nil)
+	g.SentBefore(now.Add(grace), now)
+	g.SentBefore(now.Add(time.Hour), time.Time{}) // resumed in time
+	if _, violated := g.Counts(Drain); violated != 0 {
+		t.Errorf("%d, want none", violated)
+	}
+	g.SentBefore(now.Add(grace+1), now)
+	if _, violated := g.Counts(Drain); violated != 1 {
+		t.Errorf("%d, want 1", violated)
+	}
+	from := time.Now()
+	g.Watched(false, from)
+	g.Sent(good(), from.Add(time.Second))
+	g.Watched(true, time.Time{})
+	g.Sent(good(), from.Add(2*time.Second))
+	if g.Stale() != 1 {
+		t.Errorf("%d sent unwatched, want 1", g.Stale())
+	}
+}
+
+// A nil guard decides all the same, and counts nothing.
+func TestNilGuard(t *testing.T) {
+	t.Parallel()
+	var g *Guard
+	a := good()
+	a.Departed = true
+	if g.May(a) != Departed || g.Violations() != 0 || g.Stale() != 0 {
+		t.Error("a nil guard does not decide")
+	}
+	g.Sent(a, now)
+	g.SentBefore(now, now.Add(-time.Hour))
+	g.Ended(false)
+	g.Watched(false, now)
+}
+
+// What Check lets pass breaks no rule if it is sent at that very moment.
+func TestAdmittedBreaksNothing(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		span := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(-int64(time.Second), int64(time.Second)).Draw(t, name))
+		}
+		a := Attempt{Now: now, Deadline: now.Add(span("deadline")), Effect: rapid.SampledFrom([]decide.Effect{decide.Safe, decide.Keyed, decide.Unsafe}).Draw(t, "effect"),
+			Over: rapid.Bool().Draw(t, "over"), Departed: rapid.Bool().Draw(t, "departed"), MayHaveRun: rapid.Bool().Draw(t, "ran"),
+			ColdSent: rapid.IntRange(0, 5).Draw(t, "cold"), ColdMost: rapid.IntRange(0, 5).Draw(t, "most")}
+		a.Patience = a.Deadline.Add(max(0, span("patience")))
+		a.Told = max(0, a.Deadline.Sub(now))
+		if rapid.Bool().Draw(t, "off") {
+			a.OffSince = now.Add(span("since"))
+		}
+		if rapid.Bool().Draw(t, "window") {
+			a.WriteBy = now.Add(span("window ends"))
+		}
+		g := New(grace, nil)
+		if g.May(a) == None {
+			if g.Sent(a, now); g.Violations() != 0 {
+				t.Fatalf("%+v", a)
+			}
+		}
+	})
+}
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -20,6 +20,7 @@
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
+	"starlingvalve/internal/serverlist"
 )
 
 const (
@@ -108,6 +109,18 @@
 	first time.Duration // for an answer that does not wait for news
 	pause time.Duration // after a call that has failed
 	crowd time.Duration // after which a refusal means that a call has waited for its turn
+	agent bool          // lists are pushed
+}
+
+// source is that of an answer.
+func (p *pacing) source(first bool) serverlist.Source {
+	switch {
+	case p.agent:
+		return serverlist.SourcePush
+	case first:
+		return serverlist.SourceCall
+	}
+	return serverlist.SourceWatch
 }
 
 // draw gives the wait of one call.
@@ -130,7 +143,7 @@
 	return &Registry{addr: addr, log: log, asked: pacing{wait: watch, vary: min(nodes*waitSpread, time.Duration(waitDiffer*float64(watch))), slack: watchSlack,
 		first: callSlack, crowd: crowdedWait},
 		pushed: pacing{wait: grace(2, 25*time.Millisecond, watchLeast), slack: grace(4, 25*time.Millisecond, watchSlack), first: grace(2, 50*time.Millisecond, watchSlack),
-			pause: grace(8, 10*time.Millisecond, watchSlack/5)},
+			pause: grace(8, 10*time.Millisecond, watchSlack/5), agent: true},
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialWait}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
 }
 
@@ -185,8 +198,7 @@
 // errOlder ends a watch whose answer is of a time before what it has told already: a server that drains by now may be ready in it.
 var errOlder = errors.New("list: older than what this watch has told")
 
-// Watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
-// fails. With no version to begin at, it begins with the whole list. Each further call follows the answer before it at once: discovery ends a
+// Watch hands on each answer from a version on, also those that hold no changes, until a call fails. With no version to begin at, it begins with the whole list. Each further call follows the answer before it at once: discovery ends a
 // watch whose next call comes later than 200 ms, and what changes in that time counts as notified. A watch that has fallen silent, or whose
 // answer is older than the one before, is broken, and is begun anew at once: what it missed counts as notified soon.
 func (d *Registry) Watch(ctx context.Context, since *uint64, news func(core.List)) error {
@@ -195,7 +207,8 @@
 
 func (d *Registry) watch(ctx context.Context, since *uint64, p pacing, news func(core.List)) error {
 	var version uint64
-	renewed := false // because of an older answer, and no good one has followed the first one since
+	var answeredAt time.Time // the answer before, as it had come
+	renewed := false         // because of an older answer, and no good one has followed the first one since
 	for first := true; ; {
 		asked := time.Now()
 		l, err := d.next(ctx, since, version, first, p)
@@ -215,9 +228,13 @@
 		if err != nil {
 			return p.failed(err, first, time.Since(asked))
 		}
-		if first || l.Full || len(l.Entries) > 0 || l.Version != version {
-			news(l)
+		l.Source = p.source(first)
+		if resumed := asked.Sub(answeredAt); !first && resumed > serverlist.ContinueWithin {
+			d.log.Warn("discovery: the watch was resumed too late", "after", resumed, "since", version, "revision", l.Version)
+			l.StaleSince = answeredAt
 		}
+		answeredAt = time.Now()
+		news(l)
 		if !first && l.Version == version && time.Since(asked) < agentPause {
 			pause(ctx, agentPause) // an agent may answer at once, always: that must not become a busy loop
 		}
--- /dev/null
+++ b/internal/serverlist/view_test.go
@@ -0,0 +1,183 @@
+package serverlist
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"starlingvalve/decide"
+)
+
+var began = time.Now()
+
+func entry(id decide.ServerID, state decide.ServerState, started decide.Time) Entry {
+	return Entry{Server: decide.Server{ID: id, Zone: "z", State: state, StartedAt: started}, Addr: "127.0.0.1:9"}
+}
+
+func whole(version uint64, entries ...Entry) List {
+	return List{Version: version, Full: true, Entries: entries, Source: SourceCall}
+}
+
+func changes(version uint64, entries ...Entry) List {
+	return List{Version: version, Entries: entries, Source: SourceWatch}
+}
+
+func expect(t *testing.T, v *View, id decide.ServerID, want decide.ServerState) {
+	t.Helper()
+	if got := v.state(id); got != want {
+		t.Errorf("server %d: state %d, want %d", id, got, want)
+	}
+}
+
+// Age and source are those of the latest answer, whether it held news or not.
+func TestAge(t *testing.T) {
+	t.Parallel()
+	v := NewView()
+	v.Apply(List{Full: true, Entries: []Entry{entry(1, decide.Ready, 0)}, Source: SourceCache}, began)
+	if age := v.Age(began.Add(time.Hour)); age >= 0 {
+		t.Errorf("a cached list was never confirmed: age %v", age)
+	}
+	v.Apply(changes(2), began.Add(time.Second))
+	v.Confirm(SourceWatch, began.Add(3*time.Second))
+	if age := v.Age(began.Add(4 * time.Second)); age != time.Second {
+		t.Errorf("age %v", age)
+	}
+	if watched, _ := v.Watched(); !watched || v.Source() != SourceWatch {
+		t.Errorf("watched %v, source %v", watched, v.Source())
+	}
+	v.Unwatch(began.Add(5 * time.Second))
+	if watched, since := v.Watched(); watched || !since.Equal(began.Add(5*time.Second)) {
+		t.Errorf("watched %v since %v", watched, since)
+	}
+	v.Moved(began.Add(6 * time.Second))
+	if v.Revision() != nil {
+		t.Error("a revision of the source before is kept")
+	}
+}
+
+// Transitions name what changed, from what to what, with the age of what was believed.
+func TestTransitions(t *testing.T) {
+	t.Parallel()
+	v := NewView()
+	v.Apply(whole(1, entry(1, decide.Ready, 0), entry(2, decide.Ready, 0)), began)
+	u := v.Apply(whole(2, entry(1, decide.Draining, 0), entry(3, decide.Ready, 0)), began.Add(time.Second))
+	got := map[decide.ServerID][2]decide.ServerState{}
+	for _, x := range u.Transitions {
+		got[x.Server.ID] = [2]decide.ServerState{x.From, x.To}
+		if x.Age != time.Second || x.Revision != 2 || x.Source != SourceCall {
+			t.Errorf("%+v", x)
+		}
+	}
+	want := map[decide.ServerID][2]decide.ServerState{1: {decide.Ready, decide.Draining}, 2: {decide.Ready, decide.Gone}, 3: {decide.Gone, decide.Ready}}
+	if len(got) != len(want) || got[1] != want[1] || got[2] != want[2] || got[3] != want[3] {
+		t.Errorf("%v, want %v", got, want)
+	}
+	if listed, ready := v.Size(); listed != 2 || ready != 1 {
+		t.Errorf("%d listed, %d ready", listed, ready)
+	}
+}
+
+// A list that is older than the one that had a server drain or go does not bring it back, unless it has started since, or the older
+// revisions stand for OlderTrusted.
+func TestOlderListBringsNothingBack(t *testing.T) {
+	t.Parallel()
+	for name, off := range map[string]List{
+		"drains":    changes(9, entry(1, decide.Draining, 5)),
+		"gone":      changes(9, entry(1, decide.Gone, 5)),
+		"not named": whole(9, entry(2, decide.Ready, 0)),
+	} {
+		v := NewView()
+		v.Apply(whole(8, entry(1, decide.Ready, 5), entry(2, decide.Ready, 0)), began)
+		v.Apply(off, began)
+		v.Apply(whole(7, entry(1, decide.Ready, 5), entry(2, decide.Ready, 0)), began.Add(time.Second))
+		if v.state(1) == decide.Ready {
+			t.Errorf("%s: brought back", name)
+		}
+		expect(t, v, 2, decide.Ready)
+		v.Confirm(SourceWatch, began.Add(OlderTrusted))
+		if v.state(1) == decide.Ready {
+			t.Errorf("%s: brought back too soon", name)
+		}
+		u := v.Confirm(SourceWatch, began.Add(time.Second+OlderTrusted))
+		if v.state(1) != decide.Ready || len(u.List.Entries) != 1 {
+			t.Errorf("%s: the revisions have begun anew, and it is not back: %+v", name, u)
+		}
+	}
+	v := NewView()
+	v.Apply(changes(9, entry(1, decide.Draining, 5)), began)
+	v.Apply(whole(7, entry(1, decide.Ready, 6)), began)
+	expect(t, v, 1, decide.Ready) // another process
+	v.Apply(changes(10, entry(1, decide.Draining, 6)), began)
+	v.Apply(changes(11, entry(1, decide.Ready, 6)), began)
+	expect(t, v, 1, decide.Ready) // newer
+}
+
+// An older list that is followed by one that has the server draining is forgotten.
+func TestOlderListIsNotBelievedLater(t *testing.T) {
+	t.Parallel()
+	v := NewView()
+	v.Apply(changes(9, entry(1, decide.Draining, 0)), began)
+	v.Apply(whole(8, entry(1, decide.Ready, 0)), began)
+	v.Apply(changes(10, entry(1, decide.Gone, 0)), began.Add(time.Second))
+	v.Confirm(SourceWatch, began.Add(time.Minute/2))
+	expect(t, v, 1, decide.Gone)
+}
+
+// Cordoned servers drain whatever the list says, and are back with the end of the cordon only if it still has them ready.
+func TestCordon(t *testing.T) {
+	t.Parallel()
+	v := NewView()
+	v.Apply(whole(1, entry(1, decide.Ready, 0), entry(2, decide.Ready, 0)), began)
+	u := v.SetCordon(Cordon{Servers: map[decide.ServerID]bool{1: true}})
+	if _, ready := v.Size(); ready != 1 || len(u.Transitions) != 1 || u.Transitions[0].To != decide.Draining {
+		t.Errorf("%d ready, %+v", ready, u.Transitions)
+	}
+	v.Apply(changes(2, entry(1, decide.Ready, 0)), began)
+	expect(t, v, 1, decide.Draining)
+	if l, ok := v.List(); !ok || len(l.Entries) != 2 || l.Entries[0].State != decide.Ready || l.Entries[1].State != decide.Ready {
+		t.Errorf("the list is to be as it was told: %+v", l)
+	}
+	v.SetCordon(Cordon{})
+	expect(t, v, 1, decide.Ready)
+}
+
+// Whatever lists come in whatever order, the count of ready servers is that of the states in force, and nothing that is draining by a
+// revision is made ready by a lower one of the same process within OlderTrusted.
+func TestViewUnderAnyLists(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewView()
+		now := began
+		drained := map[decide.ServerID]uint64{} // by which revision
+		for range rapid.IntRange(1, 20).Draw(t, "lists") {
+			now = now.Add(10 * time.Millisecond)
+			l := List{Version: rapid.Uint64Range(1, 9).Draw(t, "version"), Full: rapid.Bool().Draw(t, "full"), Source: SourceWatch}
+			for _, id := range rapid.SliceOfNDistinct(rapid.Uint32Range(1, 4), 0, 4, rapid.ID).Draw(t, "servers") {
+				l.Entries = append(l.Entries, entry(decide.ServerID(id), rapid.SampledFrom([]decide.ServerState{decide.Ready, decide.Draining, decide.Gone}).Draw(t, "state"), 0))
+			}
+			v.Apply(l, now)
+			ready := 0
+			for id := range decide.ServerID(5) {
+				if v.state(id) != decide.Ready {
+					continue
+				}
+				ready++
+				if l.Version < drained[id] {
+					t.Fatalf("server %d drained by revision %d is ready by %d", id, drained[id], l.Version)
+				}
+			}
+			for _, e := range l.Entries {
+				switch {
+				case e.State != decide.Ready:
+					drained[e.ID] = max(drained[e.ID], l.Version)
+				case v.state(e.ID) == decide.Ready:
+					delete(drained, e.ID)
+				}
+			}
+			if _, got := v.Size(); got != ready {
+				t.Fatalf("%d ready, want %d", got, ready)
+			}
+		}
+	})
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"starlingvalve/internal/guard"
 )
 
 // Ends are the requests of one class that are over, by their end. They never go down.
@@ -29,6 +31,14 @@
 	current   atomic.Int64 // requests taken and not ended
 	size      atomic.Int64 // listed servers
 	unhealthy atomic.Int64 // listed servers that the node avoids
+
+	outcomes    [outcomeKinds]atomic.Int64 // attempts by how they ended
+	lists       [sourceKinds]atomic.Int64  // lists that were taken in, by their source
+	transitions atomic.Int64               // of servers' states
+	revision    atomic.Int64
+	listAge     atomic.Int64 // ms since discovery was last known to have nothing newer; -1: it never was
+	watched     atomic.Int64 // 1: a watch keeps the list fresh
+	guard       atomic.Pointer[guard.Guard]
 }
 
 // New makes the figures of a node with these classes. Others are not counted: clients may invent any.
@@ -113,6 +123,52 @@
 	}
 }
 
+// Outcomes of attempts and sources of lists, in the order of decide.OutcomeCode and serverlist.Source.
+var (
+	outcomeNames = []string{"ok", "error", "full", "timeout", "connect", "reset", "cancelled", "moot"}
+	sourceNames  = []string{"none", "cache", "predecessor", "call", "watch", "push", "cordon"}
+)
+
+const (
+	outcomeKinds = 8
+	sourceKinds  = 7
+)
+
+// Guarded has the figures of a guard reported, too.
+func (f *Figures) Guarded(g *guard.Guard) {
+	if f != nil {
+		f.guard.Store(g)
+	}
+}
+
+// Ended counts an attempt by its outcome, a decide.OutcomeCode.
+func (f *Figures) Ended(outcome int) {
+	if f != nil && outcome >= 0 && outcome < outcomeKinds {
+		f.outcomes[outcome].Add(1)
+	}
+}
+
+// Applied counts a list by its source, a serverlist.Source, and the states of servers that it changed.
+func (f *Figures) Applied(source, transitions int) {
+	if f != nil && source >= 0 && source < sourceKinds {
+		f.lists[source].Add(1)
+		f.transitions.Add(int64(transitions))
+	}
+}
+
+// List sets what is known of the list in force: a negative age means that discovery has never confirmed it.
+func (f *Figures) List(revision uint64, age time.Duration, watched bool) {
+	if f == nil {
+		return
+	}
+	f.revision.Store(int64(revision))
+	f.listAge.Store(max(-1, age.Milliseconds()))
+	f.watched.Store(0)
+	if watched {
+		f.watched.Store(1)
+	}
+}
+
 // Cluster sets how many servers are listed, and how many of those the node avoids.
 func (f *Figures) Cluster(size, unhealthy int) {
 	if f != nil {
@@ -138,6 +194,23 @@
 	line("current", max(0, f.current.Load()), "|g\n")
 	line("cluster_size", f.size.Load(), "|g\n")
 	line("cluster_unhealthy", f.unhealthy.Load(), "|g\n")
+	for i, name := range outcomeNames {
+		line("attempts."+name, f.outcomes[i].Load(), "|c\n")
+	}
+	for i, name := range sourceNames[1:] {
+		line("lists."+name, f.lists[i+1].Load(), "|c\n")
+	}
+	line("transitions", f.transitions.Load(), "|c\n")
+	line("list.revision", f.revision.Load(), "|g\n")
+	line("list.age_ms", f.listAge.Load(), "|g\n")
+	line("list.watched", f.watched.Load(), "|g\n")
+	g := f.guard.Load()
+	for _, rule := range guard.Each() {
+		refused, violated := g.Counts(rule)
+		line("guard."+rule.String()+".refused", refused, "|c\n")
+		line("guard."+rule.String()+".violated", violated, "|c\n")
+	}
+	line("guard.unwatched_sends", g.Stale(), "|c\n")
 	n, err := w.Write(text)
 	return int64(n), err
 }
--- a/internal/upstream/http1/backend.go
+++ b/internal/upstream/http1/backend.go
@@ -23,6 +23,7 @@
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/core"
+	"starlingvalve/internal/guard"
 	"starlingvalve/internal/upstream/idle"
 	"starlingvalve/internal/upstream/reuse"
 	"starlingvalve/internal/wire"
@@ -54,6 +55,8 @@
 	room           atomic.Int64     // bytes that are free for the buffers of long answers
 	connectTimeout time.Duration
 	idleLimit      time.Duration
+	coldWindow     time.Duration // in which attempts at a server in slow start are counted
+	guard          *guard.Guard
 	log            *slog.Logger
 }
 
@@ -62,9 +65,12 @@
 	owner   *Transport
 	addr    string
 	started decide.Time
-	closed  bool    // it drains or is gone: nothing new is written to it
-	idle    []*conn // the least recently used first
-	dials   int     // under way
+	closed  bool         // it drains or is gone: nothing new is written to it
+	off     atomic.Int64 // since when, in ns on the owner's clock; 0: it is not closed
+	sent    atomic.Int64 // the latest attempt's first byte, on the same clock
+	cold    []time.Time  // attempts of the present window of its slow start
+	idle    []*conn      // the least recently used first
+	dials   int          // under way
 	reuse   reuse.Server
 	states  []reuse.Idle // room for idle's states
 	heard   time.Time
@@ -120,14 +126,15 @@
 
 // New makes a transport without servers; Update gives it some. memoryMB is the node's memory in MiB, of which roomPart is
 // granted to buffers of answers that are passed on as they come. limit is the most connections that are open at once, to
-// all servers together. Idle connections are kept for idlePart of s.ConnIdle, or for a minute if that is not set.
-func New(s decide.Settings, memoryMB, limit int, log *slog.Logger) *Transport {
+// all servers together. Idle connections are kept for idlePart of s.ConnIdle, or for a minute if that is not set. Each attempt
+// passes g right before its first byte.
+func New(s decide.Settings, memoryMB, limit int, g *guard.Guard, log *slog.Logger) *Transport {
 	idle := time.Duration(float64(s.ConnIdle) * idlePart)
 	if idle <= 0 {
 		idle = time.Minute
 	}
 	b := &Transport{hosts: map[decide.ServerID]*host{}, byAddr: map[string]*host{}, made: time.Now(), idle: queue.New(), limit: limit, log: log,
-		connectTimeout: s.ConnectTimeout, idleLimit: idle}
+		connectTimeout: s.ConnectTimeout, idleLimit: idle, coldWindow: s.OverloadTime, guard: g}
 	b.room.Store(int64(roomPart * float64(memoryMB<<20)))
 	return b
 }
@@ -146,7 +153,7 @@
 		}
 		for id, h := range b.hosts {
 			if h.seen != b.lists {
-				b.retire(h)
+				b.retire(h, l.StaleSince)
 				delete(b.hosts, id)
 			}
 		}
@@ -154,7 +161,7 @@
 	for _, e := range l.Entries {
 		h := b.hosts[e.ID]
 		if h != nil && (e.State != decide.Ready || h.addr != e.Addr || e.StartedAt > h.started) {
-			b.retire(h)
+			b.retire(h, l.StaleSince)
 			delete(b.hosts, e.ID) // attempts that connect to it still hold h, and find it closed
 			h = nil
 		}
@@ -169,23 +176,32 @@
 func (b *Transport) join(n *host) *host {
 	if h := b.byAddr[n.addr]; h != nil {
 		if h.started > n.started {
-			n.closed = true
+			b.close(n)
 			return n
 		}
-		b.retire(h)
+		b.retire(h, time.Time{})
 	}
 	b.byAddr[n.addr] = n
 	return n
 }
 
-func (b *Transport) retire(h *host) {
-	h.closed = true
+// retire closes a host. notified is since when the process may have counted as notified, if that is earlier than now.
+func (b *Transport) retire(h *host, notified time.Time) {
+	b.close(h)
+	if last := h.sent.Load(); last > 0 {
+		b.guard.SentBefore(b.made.Add(time.Duration(last)), notified)
+	}
 	if b.byAddr[h.addr] == h {
 		delete(b.byAddr, h.addr)
 	}
 	b.closeAll(h)
 }
 
+func (b *Transport) close(h *host) {
+	h.closed = true
+	h.off.Store(int64(max(1, time.Since(b.made))))
+}
+
 func (b *Transport) closeAll(h *host) {
 	for _, c := range h.idle {
 		b.drop(c)
@@ -240,7 +256,7 @@
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			for _, h := range b.hosts {
-				b.retire(h)
+				b.retire(h, time.Time{})
 			}
 			return
 		case <-tick.C:
@@ -345,12 +361,6 @@
 	}
 }
 
-func (b *Transport) closing(h *host) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return h.closed
-}
-
 // do makes an exchange and blocks until it is over. An end of ctx calls it off.
 func (b *Transport) do(ctx context.Context, h *host, x *core.Exchange) core.Result {
 	if h == nil {
@@ -371,23 +381,10 @@
 	}
 	// Connecting takes time: what made this attempt right may no longer hold, and until the last byte is
 	// written it has not run.
-	now := time.Now()
-	switch {
-	case ctx.Err() != nil:
-		b.release(h, c, true)
-		return core.Result{Code: decide.Cancelled, Err: ctx.Err()}
-	case x.Unwanted(core.LookAge):
-		b.release(h, c, true)
-		return core.Result{Code: decide.Moot, Err: errUnwanted}
-	case b.closing(h):
-		b.release(h, c, false)
-		return core.Result{Code: decide.ConnectFailed, Err: errClosed}
-	case !x.WriteBy.IsZero() && !now.Before(x.WriteBy):
-		b.release(h, c, true)
-		return core.Result{Code: decide.Moot, Err: errors.New("the keyed window is over")}
-	case !now.Before(x.Deadline):
-		b.release(h, c, true)
-		return core.Result{Code: decide.ConnectFailed, Err: os.ErrDeadlineExceeded}
+	admitted, refused := b.admit(ctx, h, x)
+	if refused.Err != nil {
+		b.release(h, c, true) // which closes it, if the server drains or is gone
+		return refused
 	}
 	again, age := c.used, time.Since(c.since)
 	c.used = true
@@ -398,7 +395,7 @@
 	c.until, c.ctx = x.Deadline, ctx
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	calledOff := c.callOffUnsent(x)
-	r, a := b.roundTrip(ctx, c, x)
+	r, a := b.roundTrip(ctx, c, x, admitted)
 	if calledOff(r.Err) {
 		r.Code = decide.Moot
 	}
@@ -465,7 +462,7 @@
 
 // roundTrip writes a request and reads its answer, or so much of it that it can go on: then the result has a Rest. What it gives
 // besides is the answer's body; nil: there is none.
-func (b *Transport) roundTrip(ctx context.Context, c *conn, x *core.Exchange) (core.Result, *answer) {
+func (b *Transport) roundTrip(ctx context.Context, c *conn, x *core.Exchange, admitted guard.Attempt) (core.Result, *answer) {
 	if x.Upload != nil && x.Upload.Spent {
 		return core.Result{Code: decide.Moot, Err: errors.New("a part of the client's body is gone")}, nil
 	}
@@ -484,6 +481,7 @@
 	if x.Written != nil {
 		x.Written()
 	}
+	b.written(c.host, x, admitted)
 	c.left = headLimit                     // http.ReadResponse itself takes a header of any size
 	req := &http.Request{Method: x.Method} // of it ReadResponse looks at the method only
 	resp, err := http.ReadResponse(c.r, req)
@@ -558,7 +556,7 @@
 
 // probe asks a backend how it is.
 func (b *Transport) probe(ctx context.Context, h *host, path string) core.Result {
-	r := b.do(ctx, h, &core.Exchange{Method: http.MethodGet, URL: &url.URL{Path: path, Host: "api.internal"}, Deadline: time.Now().Add(probeWait)})
+	r := b.do(ctx, h, &core.Exchange{Method: http.MethodGet, URL: &url.URL{Path: path, Host: "api.internal"}, Deadline: time.Now().Add(probeWait), Probe: true})
 	if r.Report == nil && r.Code == decide.OK {
 		r.Report = parseReport(string(r.Body))
 	}
--- a/internal/upstream/http1/backend_test.go
+++ b/internal/upstream/http1/backend_test.go
@@ -41,7 +41,7 @@
 				}
 				sent <- struct{}{}
 			}))
-			b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+			b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 			b.Update(testkit.Known(addr))
 			for range 3 {
 				if r := b.do(t.Context(), b.find(1), get(testkit.Patient)); r.Code != decide.OK || string(r.Body) != "right" {
@@ -75,7 +75,7 @@
 	t.Parallel()
 	var got atomic.Int64
 	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { got.Add(1); return testkit.OK("x") }))
-	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 	b.Update(testkit.Known(addr))
 	for _, pooled := range []bool{false, true} {
 		if pooled {
@@ -130,7 +130,7 @@
 func TestAddressTakenOver(t *testing.T) {
 	t.Parallel()
 	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { return testkit.OK("x") }))
-	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 	b.Update(testkit.Known(addr))
 	if r := b.do(t.Context(), b.find(1), get(testkit.Patient)); r.Code != decide.OK || b.open != 1 {
 		t.Fatalf("%v, %d open", r.Code, b.open)
@@ -154,7 +154,7 @@
 // A machine that says nothing when connected to takes a part of the descriptors only.
 func TestDialsBounded(t *testing.T) {
 	t.Parallel()
-	b := New(testkit.Settings(), 192, 16, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 16, nil, testkit.Quiet)
 	b.Update(testkit.Known("127.0.0.1:1"))
 	h := b.find(1)
 	h.dials = 2
@@ -169,7 +169,7 @@
 	var got atomic.Int64
 	addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { got.Add(1); return testkit.OK("x") }))
 	fresh := func() (*Transport, *host) {
-		b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+		b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 		b.Update(testkit.Known(addr))
 		return b, b.find(1)
 	}
@@ -226,7 +226,7 @@
 		t.Fatal(err)
 	}
 	defer refused.Close()
-	b := New(testkit.Settings(), 192, 1, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 1, nil, testkit.Quiet)
 	b.Update(testkit.Known(addr, other, refused.LocalAddr().String()))
 	for i, want := range map[decide.ServerID]decide.OutcomeCode{1: decide.OK, 2: decide.OK, 3: decide.ConnectFailed, 4: decide.ConnectFailed} {
 		if r := b.do(t.Context(), b.find(i), get(testkit.Patient)); r.Code != want {
@@ -253,7 +253,7 @@
 	t.Parallel()
 	addr := testkit.Server(t, func(c net.Conn) { io.Copy(io.Discard, c) })
 	for heard, want := range map[bool]int{false: 0, true: 1} {
-		b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+		b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 		b.Update(testkit.Known(addr))
 		h := b.find(1)
 		var conns [2]*conn
@@ -283,7 +283,7 @@
 // A list of thousands: each change costs what changed, an address that is taken over is found at once, and at the bound the
 // connection that has been idle longest makes room.
 func TestManyHosts(t *testing.T) {
-	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 	l := testkit.Known(make([]string, 10_000)...)
 	for i := range l.Entries {
 		l.Entries[i].Addr = "127.0.0.1:" + time.Duration(i).String()
@@ -300,7 +300,7 @@
 }
 
 func BenchmarkFullListOfHosts(b *testing.B) {
-	hosts := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	hosts := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 	l := testkit.Known(make([]string, 10_000)...)
 	for i := range l.Entries {
 		l.Entries[i].Addr = "127.0.0.1:" + time.Duration(i).String()
@@ -355,7 +355,7 @@
 					io.WriteString(conn, c.reply)
 				}
 			})
-			b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+			b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 			b.Update(testkit.Known(addr))
 			if r := b.do(t.Context(), b.find(1), get(testkit.Patient)); r.Code != c.code {
 				t.Errorf("outcome %v (%v), want %v", r.Code, r.Err, c.code)
@@ -384,7 +384,7 @@
 			io.WriteString(c, testkit.OK("right"))
 		}
 	})
-	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 	b.Update(testkit.Known(addr))
 	defer b.Update(core.List{Full: true})
 	h := b.find(1)
--- a/internal/upstream/http1/connect_test.go
+++ b/internal/upstream/http1/connect_test.go
@@ -40,7 +40,7 @@
 		}
 	})
 	for _, open := range []int{1, 2, 4, 5, 8} {
-		b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+		b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 		b.Update(testkit.Known(addr))
 		h := b.find(1)
 		var conns []*conn
@@ -151,7 +151,7 @@
 			}
 		}
 	})
-	b := New(testkit.Settings(), 192, limit, testkit.Quiet)
+	b := New(testkit.Settings(), 192, limit, nil, testkit.Quiet)
 	b.Update(testkit.Known(addr))
 	h := b.find(1)
 	send := func(path string) core.Result {
@@ -221,7 +221,7 @@
 			t.Parallel()
 			var got atomic.Int64
 			addr := testkit.Server(t, testkit.Answering(func(*http.Request, []byte) string { got.Add(1); return testkit.OK("x") }))
-			b := New(testkit.Settings(), 192, 1, testkit.Quiet) // no room for a second connection
+			b := New(testkit.Settings(), 192, 1, nil, testkit.Quiet) // no room for a second connection
 			b.Update(testkit.Known(addr))
 			h := b.find(1)
 			if r := b.do(t.Context(), h, get(testkit.Patient)); r.Code != decide.OK {
@@ -266,7 +266,7 @@
 		"the deadline":     func(*core.Exchange) {},
 		"the keyed window": func(x *core.Exchange) { x.WriteBy, x.Deadline = x.Deadline, time.Now().Add(3*time.Hour) },
 	} {
-		b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+		b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 		b.Update(testkit.Known(addr))
 		h := b.find(1)
 		if r := b.do(t.Context(), h, get(testkit.Patient)); r.Code != decide.OK {
@@ -298,7 +298,7 @@
 		t.Fatal(err)
 	}
 	defer refused.Close()
-	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 	b.Update(testkit.Known(refused.LocalAddr().String()))
 	h := b.find(1)
 	if r := b.do(t.Context(), h, get(testkit.Patient)); r.Code != decide.ConnectFailed || !strings.Contains(r.Err.Error(), "refused") {
--- a/internal/upstream/http1/endings_test.go
+++ b/internal/upstream/http1/endings_test.go
@@ -22,7 +22,7 @@
 		n, _ := io.Copy(io.Discard, c)
 		whole <- n >= size
 	})
-	b := New(testkit.Settings(), 192, 10, testkit.Quiet)
+	b := New(testkit.Settings(), 192, 10, nil, testkit.Quiet)
 	b.Update(testkit.Known(addr))
 	c, err := b.connect(t.Context(), b.find(1), get(testkit.Patient))
 	if err != nil {
