--- /dev/null
+++ b/cmd/rig/failing.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// Numbers of seccomp(2) that x/sys does not name.
+const (
+	seccompSetFilter = 1
+	seccompAllThread = 1          // SECCOMP_FILTER_FLAG_TSYNC
+	seccompAllow     = 0x7fff0000 // SECCOMP_RET_ALLOW
+	seccompError     = 0x00050000 // SECCOMP_RET_ERRNO
+	seccompNumber    = 0          // offset of the call's number
+	seccompFirst     = 16         // offset of its first argument
+)
+
+// connectErrors are what connect(2) fails with on some descriptors, by their number modulo 16: a filter has no memory, so that it can't fail now and then.
+var connectErrors = map[uint32]syscall.Errno{5: syscall.EADDRNOTAVAIL, 9: syscall.ENOBUFS, 13: syscall.ENETUNREACH}
+
+// failing runs a program in this process's place, some of whose system calls fail.
+func failing(args []string) error {
+	if len(args) == 0 {
+		return errors.New("want a program")
+	}
+	runtime.LockOSThread()
+	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
+		return fmt.Errorf("no_new_privs: %w", err)
+	}
+	if err := setFilter(connectFilter()); err != nil {
+		return fmt.Errorf("seccomp: %w", err)
+	}
+	return syscall.Exec(args[0], args, os.Environ())
+}
+
+// connectFilter fails connect(2) as connectErrors says.
+func connectFilter() []unix.SockFilter {
+	const load, and, equal, give = unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, unix.BPF_ALU | unix.BPF_AND | unix.BPF_K,
+		unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, unix.BPF_RET | unix.BPF_K
+	allow := unix.SockFilter{Code: give, K: seccompAllow}
+	filter := []unix.SockFilter{{Code: load, K: seccompNumber}, {Code: equal, K: unix.SYS_CONNECT, Jt: 1}, allow,
+		{Code: load, K: seccompFirst}, {Code: and, K: 15}}
+	for descriptor, errno := range connectErrors {
+		filter = append(filter, unix.SockFilter{Code: equal, K: descriptor, Jf: 1}, unix.SockFilter{Code: give, K: seccompError | uint32(errno)})
+	}
+	return append(filter, allow)
+}
+
+func setFilter(filter []unix.SockFilter) error {
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	_, _, errno := unix.Syscall(unix.SYS_SECCOMP, seccompSetFilter, seccompAllThread, uintptr(unsafe.Pointer(&program)))
+	runtime.KeepAlive(filter)
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -92,7 +92,12 @@
 		fs.StringVar(&o.scenarios, "scenarios", "deploy/scenarios", "`folder` of scenario files")
 	}},
 	"record": {"what recording traffic costs, beside the same node without", recordRig, nil},
-	"rules":  {"the four rules under drains, cold starts, silent servers and overload", rules, nil},
+	"soak": {"a fleet of real processes under random faults that overlap, judged by what clients, servers and discovery logged", soakRig, func(fs *pflag.FlagSet, o *options) {
+		fs.StringVar(&o.schedule, "schedule", "", "replay the faults of this `FILE`, as an earlier run printed them")
+		fs.StringVar(&o.history, "logs", "", "keep the logs of all processes in this `FOLDER`")
+		fs.DurationVar(&o.length, "length", 0, "of the run; 0: 3 minutes, or 26 s for -quick")
+	}},
+	"rules": {"the four rules under drains, cold starts, silent servers and overload", rules, nil},
 }
 
 func main() {
@@ -141,7 +146,9 @@
 	nodes := &cobra.Command{Use: "hollow FILE", Hidden: true, Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
 		return hollow.Main(args[0], os.Stdin, os.Stdout)
 	}}
-	root.AddCommand(proxy, busy, nodes)
+	// A flag of the program's own is not this command's.
+	broken := &cobra.Command{Use: "failing PROGRAM", Hidden: true, DisableFlagParsing: true, RunE: func(_ *cobra.Command, args []string) error { return failing(args) }}
+	root.AddCommand(proxy, busy, nodes, broken)
 	root.SetArgs(dashes(args))
 	return root
 }
--- /dev/null
+++ b/cmd/rig/soakfaults.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"syscall"
+	"time"
+
+	"starlingvalve/internal/rig/soak"
+	"starlingvalve/internal/standin"
+	registry "starlingvalve/internal/standin/discovery"
+)
+
+const (
+	leaveEvery  = 50 * time.Millisecond // clients come that leave
+	leaveWithin = 60 * time.Millisecond
+	stallers    = 4
+	stallWait   = 6 * time.Second // for a node to end a client that has stalled
+	pauseMost   = 120 * time.Millisecond
+	noticedLate = 700 * time.Millisecond // until discovery lists a server anew that has vanished
+	drainBefore = 700 * time.Millisecond // a server is gone
+)
+
+// inject has a fault happen, and waits until it is over.
+func (p *soakPlay) inject(ctx context.Context, f soak.Fault) error {
+	length := time.Duration(f.Length * float64(time.Second))
+	n, s := p.nodes[f.Node], p.servers[f.Server]
+	switch f.Kind {
+	case soak.Restart:
+		return n.restart(ctx, 0)
+	case soak.ClockStep:
+		return n.restart(ctx, clockStep(f))
+	case soak.Kill:
+		n.kill()
+		sleepFor(ctx, length)
+		defer n.back()
+		return n.start(ctx, 0, false)
+	case soak.Handover:
+		return n.handover(ctx)
+	case soak.Pause:
+		return n.pause(ctx, min(length, pauseMost))
+	case soak.Reload:
+		return n.reload()
+	case soak.Leave:
+		p.leave(ctx, n, length)
+	case soak.Stall:
+		p.stall(n)
+	case soak.Drain:
+		p.service.Set(s.entry("draining"))
+		sleepFor(ctx, length)
+		p.service.Set(s.entry("ready"))
+	case soak.Replace:
+		return p.replace(ctx, s, length)
+	case soak.Vanish:
+		return p.vanish(ctx, s, length)
+	case soak.Hang:
+		server, _ := s.present()
+		server.Mute(true)
+		sleepFor(ctx, length)
+		server.Mute(false)
+	case soak.Silent, soak.Resets, soak.Late:
+		_, path := s.present()
+		path.Set(map[soak.Kind]standin.PathFault{soak.Silent: standin.PathSilent, soak.Resets: standin.PathResets, soak.Late: standin.PathLate}[f.Kind])
+		sleepFor(ctx, length)
+		path.Set(standin.PathWhole)
+	default:
+		p.service.SetFault(listFault(f.Kind))
+		sleepFor(ctx, length)
+		p.service.SetFault(registry.Fault{})
+	}
+	return nil
+}
+
+// listFault is a fault of discovery.
+func listFault(k soak.Kind) registry.Fault {
+	switch k {
+	case soak.ListDown:
+		return registry.Fault{Down: true}
+	case soak.ListHangs:
+		return registry.Fault{Down: true, Hang: true}
+	case soak.ListSlow:
+		return registry.Fault{Slower: 4}
+	case soak.ListSilent:
+		return registry.Fault{Silent: true}
+	case soak.ListInPieces:
+		return registry.Fault{Pieces: true}
+	case soak.ListCut:
+		return registry.Fault{Cut: true}
+	}
+	return registry.Fault{Older: true}
+}
+
+// clockStep is a step of the wall clock, by an hour or by seconds, either way.
+func clockStep(f soak.Fault) time.Duration {
+	step := time.Hour
+	if f.Server%2 == 0 {
+		step = time.Duration(f.Length*2*float64(time.Second)) + time.Second
+	}
+	if f.Node%2 == 0 {
+		step = -step
+	}
+	return step
+}
+
+// pause stops the process for a moment.
+func (n *soakNode) pause(ctx context.Context, length time.Duration) error {
+	n.mu.Lock()
+	process := n.process.cmd.Process
+	n.mu.Unlock()
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	sleepFor(ctx, length)
+	return process.Signal(syscall.SIGCONT)
+}
+
+// replace has a server drain, go, and come back as a new process in slow start.
+func (p *soakPlay) replace(ctx context.Context, s *soakServer, length time.Duration) error {
+	p.service.Set(s.entry("draining"))
+	sleepFor(ctx, drainBefore)
+	p.service.Set(s.entry("gone"))
+	sleepFor(ctx, length)
+	if err := s.start(soakColdFrom); err != nil {
+		return err
+	}
+	p.service.Set(s.entry("ready"))
+	return nil
+}
+
+// vanish ends a server's process without a word. A new one comes up, and discovery lists it a moment later.
+func (p *soakPlay) vanish(ctx context.Context, s *soakServer, length time.Duration) error {
+	server, path := s.present()
+	server.Close()
+	path.Close()
+	sleepFor(ctx, length)
+	if err := s.start(soakColdFrom); err != nil {
+		return err
+	}
+	sleepFor(ctx, noticedLate)
+	p.service.Set(s.entry("ready"))
+	return nil
+}
+
+// leave has clients send requests and leave, in order or by a reset, for a while.
+func (p *soakPlay) leave(ctx context.Context, n *soakNode, length time.Duration) {
+	began := time.Now()
+	for i := 0; time.Since(began) < length && ctx.Err() == nil; i++ {
+		go p.leaveOne(n.listen, fmt.Sprintf("%s-leave-%d-%d", n.name, began.UnixNano(), i), i%2 == 0)
+		sleepFor(ctx, leaveEvery)
+	}
+}
+
+func (p *soakPlay) leaveOne(addr, id string, reset bool) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(c, "GET /read?obj=%s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Time-Left: 1.500\r\n\r\n", id, id)
+	time.Sleep(rand.N(leaveWithin))
+	if reset {
+		c.(*net.TCPConn).SetLinger(0)
+	}
+	at := time.Now()
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.departed[id] = at
+}
+
+// stall has clients stop in the middle of a request, and stay.
+func (p *soakPlay) stall(n *soakNode) {
+	ended := make(chan bool, stallers)
+	for i := range stallers {
+		go func() {
+			defer func() { ended <- true }()
+			p.stallOne(n, i%2 == 0)
+		}()
+	}
+	for range stallers {
+		<-ended
+	}
+}
+
+func (p *soakPlay) stallOne(n *soakNode, inBody bool) {
+	c, err := net.DialTimeout("tcp", n.listen, time.Second)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	text := "POST /order HTTP/1.1\r\nHost: api.internal\r\nX-Corr"
+	if inBody {
+		text = fmt.Sprintf("POST /order HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s-stall-%d\r\nX-Time-Left: 1.5\r\nContent-Length: 100\r\n\r\nhalf", n.name, time.Now().UnixNano())
+	}
+	from := time.Now()
+	io.WriteString(c, text)
+	c.SetReadDeadline(from.Add(stallWait))
+	_, err = c.Read(make([]byte, 1))
+	timeout, isNet := err.(net.Error)
+	over := !(isNet && timeout.Timeout())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stalled = append(p.stalled, soak.Stalled{Node: n.name, From: from, For: time.Since(from), Over: over})
+}
--- /dev/null
+++ b/cmd/rig/soakplay.go
@@ -0,0 +1,330 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"starlingvalve/internal/guard"
+	"starlingvalve/internal/rig/soak"
+	"starlingvalve/internal/standin"
+	registry "starlingvalve/internal/standin/discovery"
+)
+
+const (
+	soakColdFrom = 0.1
+	soakColdTime = 5 * time.Second
+	soakDedup    = 8 * time.Second
+	soakPerCall  = 30 * time.Millisecond // of discovery's work: a call of each node takes it 0.7 s
+	soakTail     = 3 * time.Second       // after the clients' last request
+	pushedReload = 4 * time.Second       // after which what a new agent has binds
+	soakPoll     = 300 * time.Millisecond
+)
+
+// soakPlay is one run of the soak test.
+type soakPlay struct {
+	workshop *workshop
+	service  *registry.Service
+	nodes    []*soakNode
+	servers  []*soakServer
+	injected atomic.Int64
+	keepLogs string // a folder for the logs of all processes; empty: none is kept
+
+	mu       sync.Mutex
+	departed map[string]time.Time
+	stalled  []soak.Stalled
+	refusals map[string]int // by process: attempts that its guard refused
+	kept     int            // logs
+}
+
+// soakServer is one server of the list, whose processes follow one another.
+type soakServer struct {
+	name string
+	cell int
+
+	mu    sync.Mutex
+	now   *standin.Server
+	path  *standin.Path
+	old   []*standin.Server
+	paths []*standin.Path
+	cold  []soak.Cold
+	dedup *standin.Dedup
+}
+
+// openSoak starts servers, discovery and nodes.
+func openSoak(ctx context.Context, w *workshop, seed uint64) (p *soakPlay, err error) {
+	p = &soakPlay{workshop: w, departed: map[string]time.Time{}, refusals: map[string]int{}}
+	defer func() {
+		if err != nil {
+			p.close()
+		}
+	}()
+	var entries []standin.Entry
+	for i := range soakServers {
+		s := &soakServer{name: fmt.Sprintf("s-%08x", 0x7a3f1000+i*7919), cell: i, dedup: &standin.Dedup{Window: soakDedup}}
+		p.servers = append(p.servers, s)
+		if err = s.start(0); err != nil {
+			return p, err
+		}
+		entries = append(entries, s.entry("ready"))
+	}
+	p.service = registry.New(soakPerCall, entries...)
+	for i := range soakNodes {
+		if err = p.addNode(i, seed); err != nil {
+			return p, err
+		}
+	}
+	return p, p.startAll(ctx)
+}
+
+func (p *soakPlay) addNode(i int, seed uint64) error {
+	n := &soakNode{play: p, index: i, name: soakName("n", i), pushed: i%3 == 2, failing: (uint64(i)+seed)%6 == 0, known: 1, guard: map[string]int{}}
+	p.nodes = append(p.nodes, n)
+	var err error
+	if n.port, n.listen, err = reservePort(); err != nil {
+		return err
+	}
+	n.folder = filepath.Join(p.workshop.dir, n.name)
+	if err = os.MkdirAll(n.folder, 0o700); err != nil {
+		return err
+	}
+	c, err := p.listen(n)
+	if err != nil {
+		return err
+	}
+	n.callers = append(n.callers, c)
+	return nil
+}
+
+// listen opens discovery to a node, or its agent.
+func (p *soakPlay) listen(n *soakNode) (*registry.Caller, error) {
+	if n.pushed {
+		return p.service.Agent(n.name)
+	}
+	return p.service.Listen(n.name)
+}
+
+func (p *soakPlay) startAll(ctx context.Context) error {
+	errs := make(chan error, len(p.nodes))
+	for _, n := range p.nodes {
+		go func() { errs <- n.start(ctx, 0, false) }()
+	}
+	var all error
+	for range p.nodes {
+		all = errors.Join(all, <-errs)
+	}
+	return all
+}
+
+// close ends all processes and stand-ins.
+func (p *soakPlay) close() {
+	for _, n := range p.nodes {
+		n.mu.Lock()
+		if n.process != nil {
+			n.process.kill()
+		}
+		n.mu.Unlock()
+		if n.port > 0 {
+			unix.Close(n.port)
+		}
+	}
+	if p.service != nil {
+		p.service.Close()
+	}
+	for _, s := range p.servers {
+		s.close()
+	}
+}
+
+// play has clients ask and faults happen, and gives what was logged. late is by how much the rig's own clock was held up at worst.
+func (p *soakPlay) play(ctx context.Context, list []soak.Fault, length time.Duration) (e soak.Evidence, late time.Duration, err error) {
+	measured, stop := context.WithCancel(ctx)
+	defer stop()
+	noise := newNoise(measured)
+	asking, end := context.WithTimeout(ctx, length)
+	defer end()
+	var running sync.WaitGroup
+	var loads []*standin.Load
+	for i, n := range p.nodes {
+		l := &standin.Load{Addr: n.listen, Classes: soakClasses(), Retries: 1, Prefix: n.name + "-", KeepLog: true, Seed: uint64(i) + 1, Linger: 600 * time.Millisecond,
+			Crossing: 100 * time.Millisecond}
+		loads = append(loads, l)
+		running.Go(func() { l.Open(asking, soakRate, 100) })
+	}
+	errs := make(chan error, len(list)+1)
+	began := time.Now()
+	for _, f := range list {
+		running.Go(func() {
+			if sleepFor(asking, time.Until(began.Add(time.Duration(f.At*float64(time.Second))))); asking.Err() != nil {
+				return
+			}
+			p.injected.Add(1)
+			if err := p.inject(ctx, f); err != nil {
+				errs <- fmt.Errorf("%v: %w", f, err)
+				end()
+			}
+		})
+	}
+	running.Wait()
+	sleepFor(ctx, soakTail)
+	stop()
+	late = noise.longest()
+	select {
+	case err = <-errs:
+		return e, late, err
+	default:
+	}
+	return p.evidence(loads), late, ctx.Err()
+}
+
+// evidence collects all logs.
+func (p *soakPlay) evidence(loads []*standin.Load) soak.Evidence {
+	e := soak.Evidence{Classes: soakClasses(), Notified: map[string][]registry.Notification{}, Killed: map[string][]soak.Span{},
+		HandedOver: map[string][]soak.Span{}, Guard: map[string]map[string]int{}}
+	for _, l := range loads {
+		e.Answers = append(e.Answers, l.Log()...)
+	}
+	for _, s := range p.servers {
+		e.Executions = append(e.Executions, s.executions()...)
+		e.Cold = append(e.Cold, s.cold...)
+	}
+	for _, n := range p.nodes {
+		e.Notified[n.name] = n.notifications()
+		n.mu.Lock()
+		if f, err := figures(n.ops); err != nil {
+			n.ended = append(n.ended, fmt.Sprintf("%s: no figures: %v", n.name, err))
+		} else {
+			for _, r := range guard.Each() {
+				n.guard[r.String()] += f["gw.guard."+r.String()+".violated"]
+			}
+		}
+		p.keep(n.name, n.process)
+		e.Killed[n.name], e.HandedOver[n.name], e.Guard[n.name] = n.killed, n.handovers, n.guard
+		e.Ready, e.Ended = append(e.Ready, n.ready...), append(e.Ended, n.ended...)
+		n.mu.Unlock()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.Departed, e.Stalled = p.departed, p.stalled
+	return e
+}
+
+// watch reads a process's figures from time to time, until it has ended, and notes if that was by itself.
+func (p *soakPlay) watch(n *soakNode, c *child, ops string) {
+	name := fmt.Sprintf("%s %d", n.name, c.cmd.Process.Pid)
+	go func() {
+		for {
+			select {
+			case <-c.ended:
+				return
+			case <-time.After(soakPoll):
+			}
+			f, err := figures(ops)
+			if err != nil {
+				continue
+			}
+			refused := 0
+			for _, r := range guard.Each() {
+				refused += f["gw.guard."+r.String()+".refused"]
+			}
+			p.mu.Lock()
+			p.refusals[name] = refused
+			p.mu.Unlock()
+		}
+	}()
+}
+
+func (p *soakPlay) guardRefusals() (all int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.refusals {
+		all += n
+	}
+	return all
+}
+
+// keep writes the log of a process into the folder for logs, if there is one.
+func (p *soakPlay) keep(name string, c *child) {
+	if p.keepLogs == "" {
+		return
+	}
+	p.mu.Lock()
+	p.kept++
+	path := filepath.Join(p.keepLogs, fmt.Sprintf("%s-%03d.log", name, p.kept))
+	p.mu.Unlock()
+	os.MkdirAll(p.keepLogs, 0o755)
+	os.WriteFile(path, []byte(c.log.String()), 0o644)
+}
+
+// start starts a process of the server; coldFrom is its part of the speed at the start, 0 for a warm one.
+func (s *soakServer) start(coldFrom float64) error {
+	o := standin.ServerOptions{Name: s.name, Zone: "z", Kind: "std", Cell: s.cell, Cores: 1, Room: 60, Dedup: s.dedup}
+	if coldFrom > 0 {
+		o.ColdFrom, o.ColdTime = coldFrom, soakColdTime
+	}
+	server, err := standin.NewServer(o, soakWork())
+	if err != nil {
+		return err
+	}
+	path, err := standin.NewPath(server.Addr)
+	if err != nil {
+		server.Close()
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now != nil {
+		s.old, s.paths = append(s.old, s.now), append(s.paths, s.path)
+	}
+	s.now, s.path = server, path
+	if coldFrom > 0 {
+		s.cold = append(s.cold, soak.Cold{Server: s.name, Started: server.Started, Rate: 1 / soakWork()["read"].Time.Seconds(), From: coldFrom, Time: soakColdTime})
+	}
+	return nil
+}
+
+// entry is the server as discovery lists it: at the address of the path to it.
+func (s *soakServer) entry(state string) standin.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := standin.EntryOf(s.now)
+	e.Addr, e.State = s.path.Addr, state
+	return e
+}
+
+func (s *soakServer) present() (*standin.Server, *standin.Path) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now, s.path
+}
+
+func (s *soakServer) executions() (all []standin.Execution) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range append(s.old, s.now) {
+		all = append(all, x.Log()...)
+	}
+	return all
+}
+
+func (s *soakServer) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range append(s.old, s.now) {
+		if x != nil {
+			x.Close()
+		}
+	}
+	for _, x := range append(s.paths, s.path) {
+		if x != nil {
+			x.Close()
+		}
+	}
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -235,6 +235,7 @@
 		Kind    ListKind
 		Version uint64
 		Entries []Server
+		Age     time.Duration // of what was known before the list, since discovery last confirmed it; 0: it is not known
 		// Of ListFailed:
 		Took    time.Duration // from the beginning of a call that was to be answered at once; 0: not known, or an open watch
 		Crowded bool          // discovery has ended a call that waited too long for its turn
--- a/decide/coldbudget.go
+++ b/decide/coldbudget.go
@@ -2,13 +2,17 @@
 
 // Budgets of cold servers. One falls over under what all nodes send it, and no node sees what the others send.
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
-	coldStart = 4.0  // 1/s, of all nodes to a cold server with no warm one to compare
-	coldPeak  = 0.5  // of m.peak: a cold server's part is of so much at least
-	coldFew   = 30.0 // requests; below, the bound leaves more to chance
-	coldSaved = 0.25 // of this node's part of the bound: what a budget saves up beyond one request
+	coldStart = 4.0             // 1/s, of all nodes to a cold server with no warm one to compare
+	coldPeak  = 0.5             // of m.peak: a cold server's part is of so much at least
+	startLag  = 2 * time.Second // until a list names a server that has started
+	coldFew   = 30.0            // requests; below, the bound leaves more to chance
+	coldSaved = 0.25            // of this node's part of the bound: what a budget saves up beyond one request
 )
 
 // startCold gives a budget a random beginning: first requests from all nodes at once would be a burst that none sees.
@@ -16,6 +20,15 @@
 	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate, s.brisk = true, at, m.random(), m.now, 0, 0 // learned anew
 }
 
+// coldFrom is when a server that is new in a list counts as started. Its start is told by the wall clock, which may have been stepped on either
+// side. It can't lie ahead, and hardly before the list that did not have it yet, which is so old: else it counts as now.
+func (m *Module) coldFrom(started Time, age time.Duration) Time {
+	if started > m.now || age > 0 && started < m.now-age-startLag {
+		return m.now
+	}
+	return started
+}
+
 // paced tells whether a cold server's budget is spent. Nodes that lack the server in their subsets send nothing. What
 // a budget saves up beyond one request and a part of the node's share of the bound lapses: where many nodes earn one
 // request in seconds each, all could send theirs at once when the other servers fail or a quiet time ends.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1012,7 +1012,7 @@
 		}
 		if n.State == Ready && n.StartedAt > s.StartedAt { // a start: nothing learned of an older process holds
 			s.suspect, s.broken, s.strikes, s.unanswered, s.imposedUntil = false, false, 0, 0, m.now
-			m.startCold(s, n.StartedAt)
+			m.startCold(s, m.coldFrom(n.StartedAt, e.Age))
 		}
 		m.enter(s, n)
 	}
--- /dev/null
+++ b/decide/wallclock_test.go
@@ -0,0 +1,30 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// A server's start is told by a wall clock that may have been stepped by an hour, either way, before this process began or since. One that
+// the list before did not have yet is in slow start all the same, and for its own time only.
+func TestSlowStartThoughTheWallClockWasStepped(t *testing.T) {
+	t.Parallel()
+	const second, hour = time.Second, time.Hour
+	for name, step := range map[string]time.Duration{"none": 0, "an hour ahead": hour, "an hour back": -hour, "seconds ahead": 9 * second, "seconds back": -9 * second} {
+		s := fleetSettings(0)
+		s.ColdFrom, s.ColdTime = 0.1, 8*second
+		m := New(s, 1)
+		now := 100 * hour
+		m.Handle(now, ListUpdate{Kind: ListFull, Entries: readyServers()})
+		now += 5 * second
+		started := Server{ID: 1, Zone: "a", Kind: "k", State: Ready, Size: 1, StartedAt: now - second/2 + step}
+		m.Handle(now, ListUpdate{Kind: ListChanges, Entries: []Server{started}, Age: second})
+		if v := m.known[1]; !v.cold || m.warmth(v) > 0.1 {
+			t.Errorf("%s: cold %v, warmth %.2f right after its start", name, v.cold, m.warmth(v))
+		}
+		m.now = now + 9*second
+		if w := m.warmth(m.known[1]); w < 1 {
+			t.Errorf("%s: warmth %.2f once it is over", name, w)
+		}
+	}
+}
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -46,7 +46,7 @@
 
 // enforce puts a list, or a part of it, in force: connections first, so that nothing goes where the list says no.
 func (l *Loop) enforce(u serverlist.Update, kind decide.ListKind) {
-	e := decide.ListUpdate{Kind: kind, Version: u.List.Version, Entries: make([]decide.Server, 0, len(u.List.Entries))}
+	e := decide.ListUpdate{Kind: kind, Version: u.List.Version, Age: max(0, u.Age), Entries: make([]decide.Server, 0, len(u.List.Entries))}
 	for _, entry := range u.List.Entries {
 		e.Entries = append(e.Entries, entry.Server)
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/faultpoint"
 	"starlingvalve/internal/guard"
 	"starlingvalve/internal/serverlist"
 	"starlingvalve/internal/stats"
@@ -104,7 +105,7 @@
 	}
 	return &Loop{classes: classes, module: decide.New(o.Settings, o.Seed), settings: o.Settings, transport: o.Transport, members: o.Members,
 		messenger: o.Messenger, remote: o.Remote, log: o.Log, lag: lag, ctx: ctx, begun: make(chan struct{}), alarm: time.NewTimer(time.Hour), began: now,
-		base: time.Duration(now.UnixNano()), requests: map[decide.RequestID]*Request{},
+		base: time.Duration(now.Add(faultpoint.WallStep).UnixNano()), requests: map[decide.RequestID]*Request{},
 		figures: o.Figures, learned: o.Learned, guard: o.Guard, view: serverlist.NewView(), debug: o.Log.Enabled(ctx, slog.LevelDebug)}, nil
 }
 
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -14,8 +14,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"starlingvalve/decide"
@@ -36,7 +38,8 @@
 	watchSlack  = time.Second // a watch that is on has its turn: an answer later than this is none
 	crowdedWait = time.Second // a call that discovery ends with 503 after so long, up to callSlack, has waited for its turn
 	agentPause  = 50 * time.Millisecond
-	latestStart = 1 << 43 // ms; a later one would not fit the module's clock
+	localPause  = 20 * time.Millisecond // after a call that this machine could not make
+	latestStart = 1 << 43               // ms; a later one would not fit the module's clock
 	registryURL = "/registry/instances"
 )
 
@@ -155,6 +158,10 @@
 		return core.List{}, err
 	}
 	resp, err := d.client.Do(req)
+	for err != nil && local(err) && ctx.Err() == nil {
+		pause(ctx, localPause)
+		resp, err = d.client.Do(req)
+	}
 	if err != nil {
 		return core.List{}, err
 	}
@@ -172,6 +179,17 @@
 	return Decode(body.Bytes())
 }
 
+// localErrors are those of this machine when a connection is made: discovery has not heard of the call.
+var localErrors = []error{syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.ENOBUFS, syscall.ENOMEM, syscall.EMFILE,
+	syscall.ENFILE, syscall.EAGAIN, syscall.EINTR}
+
+// local tells whether a call failed for want of something on this machine. It costs discovery nothing to try again soon, and a backoff
+// as after a failure of discovery's could last longer than a change may go unnoticed.
+func local(err error) bool {
+	var system syscall.Errno
+	return errors.As(err, &system) && slices.Contains(localErrors, error(system))
+}
+
 // Fetch asks for the whole list once.
 func (d *Registry) Fetch(ctx context.Context) (core.List, error) { return d.fetch(ctx, callSlack) }
 
--- /dev/null
+++ b/internal/rig/soak/check_test.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/standin"
+	"starlingvalve/internal/standin/discovery"
+)
+
+var began = time.Now()
+
+func at(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+
+// quiet is a run in which each rule has a case and none is broken.
+func quiet() Evidence {
+	return Evidence{
+		Classes: []standin.Class{{Name: "read", Method: "GET"}, {Name: "order", Method: "POST"}},
+		Answers: []standin.Answer{
+			{ID: "n00-o1.0", Order: "n00-o1", Class: "read", Sent: at(0), At: at(20), Deadline: at(1500), Status: 200, First: "s-1 n00-o1.0"},
+			{ID: "n00-o2.0", Order: "n00-o2", Class: "order", Sent: at(0), At: at(30), Deadline: at(1500), Status: 200, First: "s-1 n00-o2.0"},
+			{ID: "n00-o3.0", Order: "n00-o3", Class: "order", Sent: at(0), At: at(2), Deadline: at(1500), Status: 503},
+		},
+		Executions: []standin.Execution{
+			{Server: "s-1", ID: "n00-o1.0", Class: "read", Order: "n00-o1", Got: at(10), Told: 1490 * time.Millisecond, Ran: true},
+			{Server: "s-1", ID: "n00-o2.0", Class: "order", Order: "n00-o2", Got: at(10), Told: 1490 * time.Millisecond, Ran: true},
+			{Server: "s-1", ID: "n00-leave-1", Class: "read", Order: "l", Got: at(90), Ran: true},
+		},
+		Notified: map[string][]discovery.Notification{"n00": {
+			{At: at(-9000), By: discovery.ByStart},
+			{Server: "s-1", State: "draining", At: at(100), By: discovery.ByAnswer},
+		}},
+		Killed:     map[string][]Span{},
+		HandedOver: map[string][]Span{},
+		Cold:       []Cold{{Server: "s-2", Started: at(0), Rate: 50, From: 0.1, Time: 5 * time.Second}},
+		Departed:   map[string]time.Time{"n00-leave-1": at(50)},
+		Stalled:    []Stalled{{Node: "n00", From: at(0), For: 2 * time.Second, Over: true}},
+		Ready:      []time.Duration{time.Second},
+		Guard:      map[string]map[string]int{"n00": {"drain": 0}},
+	}
+}
+
+func broken(e Evidence) (promises []string) {
+	for _, v := range Check(e) {
+		if v.Count > 0 {
+			name, _, _ := strings.Cut(v.Promise, ":")
+			promises = append(promises, name)
+		}
+	}
+	return promises
+}
+
+// Each planted fault is found, by its rule alone.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	t.Parallel()
+	if got := broken(quiet()); got != nil {
+		t.Fatalf("a quiet run: %v", got)
+	}
+	for name, c := range map[string]struct {
+		plant func(*Evidence)
+		want  string
+	}{
+		"no answer":     {func(e *Evidence) { e.Answers[0].Status, e.Answers[0].Fault, e.Answers[0].First = 0, "EOF", "" }, "lost"},
+		"a late answer": {func(e *Evidence) { e.Answers[0].At = at(2100) }, "lost"},
+		"two answers":   {func(e *Evidence) { e.Answers = append(e.Answers, e.Answers[0]) }, "lost"},
+		"twice": {func(e *Evidence) {
+			again := e.Executions[1]
+			again.ID = "n00-o2.1"
+			e.Executions = append(e.Executions, again)
+		}, "no effect twice"},
+		"refused though it ran": {func(e *Evidence) {
+			e.Executions = append(e.Executions, standin.Execution{Server: "s-1", ID: "n00-o3.0", Class: "order", Order: "n00-o3", Got: at(1), Ran: true})
+		}, "what is refused may be tried again"},
+		"made up": {func(e *Evidence) { e.Answers[0].First = "s-9 n00-o1.0" }, "what is served is a server's own answer"},
+		"after the grace": {func(e *Evidence) {
+			e.Executions = append(e.Executions, standin.Execution{Server: "s-1", ID: "n00-o9.0", Class: "read", Got: at(100 + 701)})
+		}, "drain"},
+		"cold and crowded": {func(e *Evidence) {
+			for i := range 60 {
+				e.Executions = append(e.Executions, standin.Execution{Server: "s-2", ID: "n00-x", Class: "read", Got: at(i)})
+			}
+		}, "failback"},
+		"after its client": {func(e *Evidence) { e.Departed["n00-leave-1"] = at(-200) }, "departed"},
+		"told too much":    {func(e *Evidence) { e.Executions[0].Told = 2 * time.Second }, "deadline"},
+		"a client that stays": {func(e *Evidence) {
+			e.Stalled = append(e.Stalled, Stalled{Node: "n00", From: at(0), For: 6 * time.Second})
+		}, "stalled clients get an error or a close within 3 s"},
+		"a crash":        {func(e *Evidence) { e.Ended = []string{"n00: exit status 2"} }, "processes start within 10 s, and end only when they are told to"},
+		"a slow start":   {func(e *Evidence) { e.Ready = append(e.Ready, 11*time.Second) }, "processes start within 10 s, and end only when they are told to"},
+		"a guard counts": {func(e *Evidence) { e.Guard["n00"]["drain"] = 1 }, "the guards of the nodes count no violation"},
+	} {
+		e := quiet()
+		c.plant(&e)
+		if got := broken(e); !slices.Equal(got, []string{c.want}) {
+			t.Errorf("%s: broken %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// What is excused: what a kill breaks, and drains of a process that hands over, for 2 s; nothing of that goes further.
+func TestWhatIsExcused(t *testing.T) {
+	t.Parallel()
+	e := quiet()
+	e.Answers[0].Status, e.Answers[0].Fault, e.Answers[0].First = 0, "EOF", ""
+	e.Killed["n00"] = []Span{{at(15), at(900)}}
+	if got := broken(e); got != nil {
+		t.Errorf("broken off by a kill: %v", got)
+	}
+	e.Killed["n00"] = []Span{{at(400), at(900)}}
+	if got := broken(e); !slices.Equal(got, []string{"lost"}) {
+		t.Errorf("long before a kill: %v", got)
+	}
+	for ms, want := range map[int][]string{2800: nil, 2950: {"drain"}} {
+		e := quiet()
+		e.HandedOver["n00"] = []Span{{at(50), at(200)}}
+		e.Executions = append(e.Executions, standin.Execution{Server: "s-1", ID: "n00-o9.0", Class: "read", Got: at(ms)})
+		if got := broken(e); !slices.Equal(got, want) {
+			t.Errorf("%d ms after a handover began: %v, want %v", ms, got, want)
+		}
+	}
+	e = quiet()
+	e.Notified["n00"] = append(e.Notified["n00"], discovery.Notification{At: at(500), By: discovery.ByStart})
+	e.Executions = append(e.Executions, standin.Execution{Server: "s-1", ID: "n00-o9.0", Class: "read", Got: at(900)})
+	if got := broken(e); got != nil {
+		t.Errorf("a new process is not bound by what the one before was notified of: %v", got)
+	}
+}
+
+// A schedule is the same for a seed, overlaps, and is read as it was printed.
+func TestSchedule(t *testing.T) {
+	t.Parallel()
+	list := Draw(7, 3*time.Minute, 24, 12)
+	if again := Draw(7, 3*time.Minute, 24, 12); !slices.Equal(list, again) {
+		t.Error("another schedule for the same seed")
+	}
+	overlaps := 0
+	kinds := map[Kind]bool{}
+	for i, f := range list {
+		kinds[f.Kind] = true
+		if i > 0 && f.At < list[i-1].At+list[i-1].Length {
+			overlaps++
+		}
+	}
+	if overlaps < len(list)/2 || len(kinds) != len(Kinds()) {
+		t.Errorf("%d of %d overlap, %d of %d kinds", overlaps, len(list), len(kinds), len(Kinds()))
+	}
+	var text bytes.Buffer
+	Print(&text, list)
+	path := filepath.Join(t.TempDir(), "schedule")
+	if err := os.WriteFile(path, append([]byte("soak.late 1 s\n"), text.Bytes()...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read, err := Read(path, 24, 12)
+	if err != nil || !slices.Equal(read, list) {
+		t.Errorf("%v, %d of %d faults", err, len(read), len(list))
+	}
+	if _, err := Read(path, 2, 2); err == nil {
+		t.Error("a schedule of a larger fleet is taken")
+	}
+}
+
+// A schedule that fails because of two faults is shrunk to these.
+func TestShrink(t *testing.T) {
+	t.Parallel()
+	list := Draw(3, time.Minute, 24, 12)
+	a, b := list[3], list[len(list)-2]
+	fails := func(some []Fault) bool { return slices.Contains(some, a) && slices.Contains(some, b) }
+	if got := Shrink(list, 1000, fails); !slices.Equal(got, []Fault{a, b}) {
+		t.Errorf("%d faults are left", len(got))
+	}
+	plays := 0
+	Shrink(list, 5, func(some []Fault) bool { plays++; return fails(some) })
+	if plays > 5 {
+		t.Errorf("%d plays", plays)
+	}
+}
--- a/internal/serverlist/view.go
+++ b/internal/serverlist/view.go
@@ -57,6 +57,7 @@
 type Update struct {
 	List        List
 	Transitions []Transition
+	Age         time.Duration // of what was known before, as Age gives it
 }
 
 // NewView makes a view that knows no list.
@@ -81,7 +82,7 @@
 	entries = append(entries, v.believed(now, &l)...)
 	l.Entries = entries
 	v.known, v.revision, v.source, v.appliedAt = true, l.Version, l.Source, now
-	u := Update{List: l}
+	u := Update{List: l, Age: age}
 	for _, was := range before {
 		if is := v.state(was.ID); is != was.State {
 			u.Transitions = append(u.Transitions, Transition{Server: was, From: was.State, To: is, Revision: l.Version, Source: l.Source, Age: age})
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -75,7 +75,7 @@
 }
 
 // ask sends a try and reads its answer. keep tells whether the connection can take another.
-func (c *clientConn) ask(class Class, a *Answer) (keep bool) {
+func (c *clientConn) ask(class Class, a *Answer, linger time.Duration) (keep bool) {
 	c.out.Reset()
 	fmt.Fprintf(&c.out, "%s /%s?obj=%s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Time-Left: %.3f\r\n", class.Method, class.Name,
 		a.Order, a.ID, time.Until(a.Deadline).Seconds())
@@ -92,7 +92,7 @@
 	for n := class.Body; n > 0 && class.Method != "GET"; n -= len(padding) {
 		c.out.WriteString(padding[:min(n, len(padding))])
 	}
-	c.SetDeadline(a.Deadline)
+	c.SetDeadline(a.Deadline.Add(linger))
 	a.Sent = time.Now()
 	if _, err := c.Write(c.out.Bytes()); err != nil {
 		a.At, a.Fault = time.Now(), err.Error()
@@ -158,11 +158,12 @@
 type Load struct {
 	Addr    string
 	Classes []Class
-	Retries int      // further tries after a refusal or a break, within the patience
-	Prefix  string   // of orders and ids, so that several loads do not meet
-	KeepLog bool     // keep each answer; else only the sums
-	Seed    uint64   // of what is drawn: classes, and when orders come
-	Others  []string // further nodes of the hall: a client's further tries go there, by turns
+	Retries int           // further tries after a refusal or a break, within the patience
+	Prefix  string        // of orders and ids, so that several loads do not meet
+	KeepLog bool          // keep each answer; else only the sums
+	Seed    uint64        // of what is drawn: classes, and when orders come
+	Others  []string      // further nodes of the hall: a client's further tries go there, by turns
+	Linger  time.Duration // clients wait so much longer than they say, to see what comes late
 	// Crossing is how late the close of a kept connection may be to have crossed a request; 0: 20 ms.
 	Crossing time.Duration
 
@@ -252,7 +253,7 @@
 			a.At, a.Fault = time.Now(), "no connection in time"
 		} else {
 			used := c.used
-			give(c, c.ask(class, &a))
+			give(c, c.ask(class, &a, l.Linger))
 			if c.crossed(used, &a, l.Crossing) && resent.IsZero() {
 				resent = time.Now()
 				try--
--- a/internal/standin/discovery/caller.go
+++ b/internal/standin/discovery/caller.go
@@ -16,9 +16,11 @@
 	Addr    string
 
 	service *Service
+	agent   bool
 	server  *http.Server
 
 	// Under the lock of the service.
+	left      bool   // the process has moved to another address: nothing binds it here any more
 	notified  uint64 // the latest revision that the process counts as notified of
 	log       []Notification
 	answered  time.Time // its latest answer; zero: none, or a call has come since
@@ -41,9 +43,11 @@
 
 // The ways to be notified.
 const (
+	ByStart     Way = "start"             // a process begins with its list; the first such line, without a server, ends what bound the process before
 	ByAnswer    Way = "answer"            // the service has written it
 	ByContinued Way = "watch not resumed" // the change came within ContinueWithin of an answer, and no further call did
 	ByTime      Way = "time"              // FollowWithin is over
+	ByAgent     Way = "agent"             // the agent of the process has it
 )
 
 // Answer is a line of the log of answers.
@@ -65,8 +69,25 @@
 	s := c.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.count()
 	c.notified, c.startedAt, c.answered, c.silentEnd = revision, time.Now(), time.Time{}, time.Time{}
-	c.log = append(c.log, Notification{Revision: revision, At: c.startedAt, By: "start"})
+	c.log = append(c.log, Notification{Revision: revision, At: c.startedAt, By: ByStart})
+	for _, e := range s.whole(revision) {
+		if e.State != "ready" {
+			c.log = append(c.log, Notification{Server: e.ID, State: e.State, Revision: revision, At: c.startedAt, By: ByStart})
+		}
+	}
+}
+
+// Follow has a process ask here from now on, and no more at the caller before. What that one has notified it of stands; what changes binds
+// it here, after a delay.
+func (c *Caller) Follow(before *Caller, delay time.Duration) {
+	s := c.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before.count()
+	before.left = true
+	c.notified, c.startedAt = before.notified, time.Now().Add(delay)
 }
 
 // Answers are those so far.
@@ -80,11 +101,24 @@
 func (c *Caller) Notifications() []Notification {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	c.lapse(time.Now())
-	c.byTime(time.Now())
+	c.count()
 	return append([]Notification(nil), c.log...)
 }
 
+// count notes what the process counts as notified of by now. The lock is held.
+func (c *Caller) count() {
+	if c.left {
+		return
+	}
+	if c.agent {
+		c.byAgent()
+		return
+	}
+	now := time.Now()
+	c.lapse(now)
+	c.byTime(now)
+}
+
 func (c *Caller) serve(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	watch := err == nil
@@ -92,6 +126,13 @@
 	if err != nil {
 		wait = 0
 	}
+	if c.agent {
+		if !c.awaitBack(r.Context()) {
+			return
+		}
+		c.serveList(w, r, watch, since, time.Duration(wait)*time.Millisecond)
+		return
+	}
 	continued := c.begin(watch)
 	if !continued && !c.service.turn(r.Context()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -110,14 +151,99 @@
 	write(w, raw, fault)
 }
 
+// awaitBack waits for the end of an outage: an agent is silent during one.
+func (c *Caller) awaitBack(ctx context.Context) bool {
+	s := c.service
+	for {
+		s.mu.Lock()
+		news, down := s.news, s.fault.Down
+		s.mu.Unlock()
+		if !down {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-news:
+		}
+	}
+}
+
+// serveList answers a call to an agent.
+func (c *Caller) serveList(w http.ResponseWriter, r *http.Request, watch bool, since uint64, wait time.Duration) {
+	if watch {
+		over := time.NewTimer(min(wait, watchMost))
+		defer over.Stop()
+		for waiting := true; waiting; {
+			c.service.mu.Lock()
+			news, newer, down := c.service.news, c.service.revision() > since, c.service.fault.Down
+			c.service.mu.Unlock()
+			if newer && !down {
+				break
+			}
+			select {
+			case <-r.Context().Done():
+				return
+			case <-over.C:
+				waiting = false
+			case <-news:
+			}
+		}
+		if !c.awaitBack(r.Context()) {
+			return
+		}
+	}
+	c.service.mu.Lock()
+	l := c.listSince(watch, since, c.service.revision())
+	c.answers = append(c.answers, Answer{Revision: l.Version, Whole: l.Full, At: time.Now()})
+	c.service.mu.Unlock()
+	raw, err := json.Marshal(l)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	write(w, raw, Fault{})
+}
+
+// listSince makes the answer to a call. The lock is held.
+func (c *Caller) listSince(watch bool, since, revision uint64) list {
+	l := list{Version: revision, Full: !watch || since > revision, Servers: []standin.Entry{}}
+	if l.Full {
+		l.Servers = append(l.Servers, c.service.whole(revision)...)
+		return l
+	}
+	for _, change := range c.service.changes[since:revision] {
+		l.Servers = append(l.Servers, change.Entries...)
+	}
+	return l
+}
+
+// byAgent notes what the agent has. The lock is held.
+func (c *Caller) byAgent() {
+	s := c.service
+	if s.fault.Down {
+		return
+	}
+	c.notify(s.revision(), ByAgent, func(change Change) time.Time {
+		at := change.At
+		if c.startedAt.After(at) {
+			at = c.startedAt
+		}
+		for _, o := range s.outages {
+			if !at.Before(o.from) && at.Before(o.to) {
+				at = o.to
+			}
+		}
+		return at
+	})
+}
+
 // begin notes a call. It tells whether the call goes on with a watch, which needs no turn of its own.
 func (c *Caller) begin(watch bool) (continued bool) {
 	s := c.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	c.lapse(now)
-	c.byTime(now)
+	c.count()
 	continued = watch && !c.answered.IsZero() && !s.fault.Down
 	c.answered = time.Time{}
 	return continued
@@ -164,18 +290,11 @@
 	if s.fault.Older && !continued && revision > 1 {
 		revision--
 	}
-	l = list{Version: revision, Full: !watch || since > revision, Servers: []standin.Entry{}}
-	if l.Full {
-		l.Servers = append(l.Servers, s.whole(revision)...)
-	} else {
-		for _, change := range s.changes[since:revision] {
-			l.Servers = append(l.Servers, change.Entries...)
-		}
-	}
+	l = c.listSince(watch, since, revision)
 	now := time.Now()
 	c.answers = append(c.answers, Answer{Revision: revision, Whole: l.Full, At: now})
 	c.silentEnd = time.Time{}
-	if !s.fault.Cut { // what does not arrive counts by time
+	if !s.fault.Cut && !c.left { // what does not arrive counts by time
 		c.notify(revision, ByAnswer, func(Change) time.Time { return now })
 	}
 	c.answered = now
@@ -187,7 +306,11 @@
 	for ; c.notified < revision; c.notified++ {
 		change := c.service.changes[c.notified]
 		for _, e := range change.Entries {
-			c.log = append(c.log, Notification{Server: e.ID, State: e.State, Revision: change.Revision, At: at(change), By: by})
+			n := Notification{Server: e.ID, State: e.State, Revision: change.Revision, At: at(change), By: by}
+			if e.State == "ready" && by == ByAgent {
+				n.At = change.At // nothing binds, and the process may follow at once
+			}
+			c.log = append(c.log, n)
 		}
 	}
 }
--- /dev/null
+++ b/internal/standin/discovery/discovery_test.go
@@ -0,0 +1,170 @@
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/standin"
+)
+
+func entry(state string) standin.Entry {
+	return standin.Entry{ID: "s-00000001", Addr: "127.0.0.1:9", State: state}
+}
+
+func service(t *testing.T) *Service {
+	t.Helper()
+	s := New(time.Millisecond, entry("ready"))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func caller(t *testing.T, open func(string) (*Caller, error)) *Caller {
+	t.Helper()
+	c, err := open("n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Started(1)
+	return c
+}
+
+func ask(t *testing.T, c *Caller, query string) (status int, l list) {
+	t.Helper()
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + c.Addr + "/registry/instances" + query)
+	if err != nil {
+		return 0, list{}
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+		return resp.StatusCode, list{}
+	}
+	return resp.StatusCode, l
+}
+
+// draining gives when a process was notified of the drain, and how.
+func draining(c *Caller) (n Notification, ok bool) {
+	for _, n := range c.Notifications() {
+		if n.State == "draining" {
+			return n, true
+		}
+	}
+	return n, false
+}
+
+// A change counts when an answer holds it; when it came within ContinueWithin of an answer and no further call did; and by time.
+func TestWhenAChangeCounts(t *testing.T) {
+	t.Parallel()
+	t.Run("answer", func(t *testing.T) {
+		t.Parallel()
+		s := service(t)
+		c := caller(t, s.Listen)
+		change := s.Set(entry("draining"))
+		if _, notified := draining(c); notified {
+			t.Error("before any answer")
+		}
+		if _, l := ask(t, c, "?since=1&timeout_ms=1"); l.Version != 2 || len(l.Servers) != 1 {
+			t.Errorf("%+v", l)
+		}
+		if n, ok := draining(c); !ok || n.By != ByAnswer || n.At.Before(change.At) {
+			t.Errorf("%+v %v", n, ok)
+		}
+	})
+	t.Run("watch not resumed", func(t *testing.T) {
+		t.Parallel()
+		s := service(t)
+		c := caller(t, s.Listen)
+		ask(t, c, "?since=1&timeout_ms=1")
+		change := s.Set(entry("draining"))
+		for end := time.Now().Add(FollowWithin / 2); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if n, ok := draining(c); ok {
+				if n.By != ByContinued || !n.At.Equal(change.At) {
+					t.Errorf("%+v", n)
+				}
+				return
+			}
+		}
+		t.Error("it does not count")
+	})
+	t.Run("time", func(t *testing.T) {
+		t.Parallel()
+		s := service(t)
+		c := caller(t, s.Listen)
+		change := s.Set(entry("draining"))
+		s.mu.Lock()
+		c.byTime(change.At.Add(FollowWithin - 1))
+		early := len(c.log)
+		c.byTime(change.At.Add(FollowWithin))
+		late := len(c.log)
+		s.mu.Unlock()
+		if late != early+1 {
+			t.Errorf("%d and %d lines", early, late)
+		}
+	})
+	t.Run("agent", func(t *testing.T) {
+		t.Parallel()
+		s := service(t)
+		c := caller(t, s.Agent)
+		s.SetFault(Fault{Down: true})
+		s.Set(entry("draining"))
+		if _, notified := draining(c); notified {
+			t.Error("while it is silent")
+		}
+		back := time.Now()
+		s.SetFault(Fault{})
+		if n, ok := draining(c); !ok || n.By != ByAgent || n.At.Before(back) {
+			t.Errorf("%+v %v", n, ok)
+		}
+	})
+}
+
+// Each fault shows to whoever asks.
+func TestFaults(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		fault   Fault
+		status  int
+		version uint64
+	}{
+		"none":   {Fault{}, 200, 2},
+		"down":   {Fault{Down: true}, 503, 0},
+		"pieces": {Fault{Pieces: true}, 200, 2},
+		"cut":    {Fault{Cut: true}, 200, 0},
+		"older":  {Fault{Older: true}, 200, 1},
+	} {
+		t.Run(fmt.Sprint(name), func(t *testing.T) {
+			t.Parallel()
+			s := service(t)
+			s.Set(entry("draining"))
+			s.SetFault(c.fault)
+			status, l := ask(t, caller(t, s.Listen), "")
+			if status != c.status || l.Version != c.version {
+				t.Errorf("status %d, version %d, want %d and %d", status, l.Version, c.status, c.version)
+			}
+		})
+	}
+}
+
+// A call that would wait longer than QueueLimit for its turn ends with 503 then.
+func TestCallsWaitForTheirTurn(t *testing.T) {
+	t.Parallel()
+	s := New(3*time.Second, entry("ready"))
+	t.Cleanup(s.Close)
+	c := caller(t, s.Listen)
+	began := time.Now()
+	go ask(t, c, "")
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		busy := !s.freeAt.IsZero()
+		s.mu.Unlock()
+		if busy {
+			break
+		}
+	}
+	if status, _ := ask(t, c, ""); status != http.StatusServiceUnavailable || time.Since(began) < QueueLimit {
+		t.Errorf("status %d after %v", status, time.Since(began))
+	}
+}
--- a/internal/standin/discovery/service.go
+++ b/internal/standin/discovery/service.go
@@ -50,10 +50,14 @@
 	news      chan struct{} // closed at the next change, or when a fault begins or ends
 	fault     Fault
 	reachable time.Time // since when; zero: it is down
+	outages   []outage
 	freeAt    time.Time // its queue is empty
 	callers   []*Caller
 }
 
+// outage is a time in which the service was down; a zero to: it still is.
+type outage struct{ from, to time.Time }
+
 // Change is one revision of the list.
 type Change struct {
 	Revision uint64
@@ -92,11 +96,17 @@
 func (s *Service) SetFault(f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, c := range s.callers {
+		c.count() // by what held until now
+	}
+	now := time.Now()
 	switch {
-	case f.Down:
+	case f.Down && !s.fault.Down:
 		s.reachable = time.Time{}
-	case s.fault.Down:
-		s.reachable = time.Now()
+		s.outages = append(s.outages, outage{from: now})
+	case !f.Down && s.fault.Down:
+		s.reachable = now
+		s.outages[len(s.outages)-1].to = now
 	}
 	s.fault = f
 	s.wake()
@@ -118,6 +128,20 @@
 	return s.revision(), s.whole(s.revision())
 }
 
+// ListAt is the whole list of a revision.
+func (s *Service) ListAt(revision uint64) []standin.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole(revision)
+}
+
+// Revision is that of the latest change.
+func (s *Service) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision()
+}
+
 // whole gives the servers of a revision in the order of their names. The lock is held.
 func (s *Service) whole(revision uint64) (list []standin.Entry) {
 	for _, e := range s.entries[revision] {
@@ -133,12 +157,17 @@
 }
 
 // Listen opens the service to one process, and those that follow it under the same name.
-func (s *Service) Listen(process string) (*Caller, error) {
+func (s *Service) Listen(process string) (*Caller, error) { return s.listen(process, false) }
+
+// Agent opens an agent of one process's own machine, which answers at once with what it has: that counts as notified whether it is asked or not.
+func (s *Service) Agent(process string) (*Caller, error) { return s.listen(process, true) }
+
+func (s *Service) listen(process string, agent bool) (*Caller, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	c := &Caller{service: s, Process: process, Addr: l.Addr().String()}
+	c := &Caller{service: s, agent: agent, Process: process, Addr: l.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", c.serve)
 	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
--- /dev/null
+++ b/internal/standin/path.go
@@ -0,0 +1,213 @@
+package standin
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// PathFault is what becomes of a TCP path.
+type PathFault int
+
+// The faults of paths.
+const (
+	PathWhole  PathFault = iota
+	PathSilent           // nothing passes, open connections stay open; they are reset when the path is whole again
+	PathResets           // open connections are reset, and new ones as they come
+	PathLate             // new connections don't come up; they do a second or so after the path is whole again
+)
+
+const (
+	pathBacklog = 128
+	pathDial    = time.Second
+)
+
+// Path is a TCP path to a server that can be cut in several ways.
+type Path struct {
+	Addr string // where clients connect to
+
+	to       string
+	listener *net.TCPListener
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	changed *sync.Cond // the fault has
+	fault   PathFault
+	conns   map[*net.TCPConn]bool
+	closed  bool
+}
+
+// NewPath carries connections to a TCP address, until Close.
+func NewPath(to string) (*Path, error) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	p := &Path{Addr: l.Addr().String(), to: to, listener: l, conns: map[*net.TCPConn]bool{}}
+	p.changed = sync.NewCond(&p.mu)
+	p.running.Go(p.accept)
+	return p, nil
+}
+
+// Set has the path fail from now on in this way, or no more.
+func (p *Path) Set(f PathFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	was := p.fault
+	p.fault = f
+	if was == PathLate {
+		p.resetQueued()
+	}
+	if f == PathResets || was == PathSilent {
+		p.resetAll()
+	}
+	backlog := pathBacklog
+	if f == PathLate {
+		backlog = 0
+	}
+	p.setBacklog(backlog)
+	p.changed.Broadcast()
+}
+
+// setBacklog bounds the connections that the kernel takes before they are accepted: beyond, it drops what would begin one.
+func (p *Path) setBacklog(n int) {
+	raw, err := p.listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) { unix.Listen(int(fd), n) })
+}
+
+// resetQueued resets the connections that the kernel has taken while none came up: what was written to them would arrive late.
+func (p *Path) resetQueued() {
+	for {
+		p.listener.SetDeadline(time.Now().Add(time.Millisecond))
+		c, err := p.listener.AcceptTCP()
+		if err != nil {
+			break
+		}
+		c.SetLinger(0)
+		c.Close()
+	}
+	p.listener.SetDeadline(time.Time{})
+}
+
+// resetAll resets all connections. The lock is held.
+func (p *Path) resetAll() {
+	for c := range p.conns {
+		c.SetLinger(0)
+		c.Close()
+	}
+}
+
+// Close ends the path and its connections.
+func (p *Path) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.listener.Close()
+	p.resetAll()
+	p.changed.Broadcast()
+	p.mu.Unlock()
+	p.running.Wait()
+}
+
+// await waits until the path's fault is none of these, and tells whether the path is still there.
+func (p *Path) await(faults ...PathFault) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for !p.closed && has(faults, p.fault) {
+		p.changed.Wait()
+	}
+	return !p.closed
+}
+
+func has(list []PathFault, f PathFault) bool {
+	for _, x := range list {
+		if x == f {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Path) accept() {
+	for p.await(PathLate) {
+		c, err := p.listener.AcceptTCP()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		if !p.keep(c) {
+			continue
+		}
+		p.running.Go(func() { p.carry(c) })
+	}
+}
+
+// keep notes a connection, or resets it.
+func (p *Path) keep(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.fault == PathResets {
+		c.SetLinger(0)
+		c.Close()
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *Path) forget(c *net.TCPConn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *Path) carry(near *net.TCPConn) {
+	defer p.forget(near)
+	dialed, err := net.DialTimeout("tcp", p.to, pathDial)
+	if err != nil { // a server that is gone refuses
+		near.SetLinger(0)
+		return
+	}
+	far := dialed.(*net.TCPConn)
+	if !p.keep(far) {
+		return
+	}
+	defer p.forget(far)
+	var back sync.WaitGroup
+	back.Go(func() { p.copy(near, far) })
+	p.copy(far, near)
+	back.Wait()
+}
+
+// copy carries one direction. An end of it ends both, as the stand-ins never close one direction only.
+func (p *Path) copy(to, from *net.TCPConn) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if !p.await(PathSilent) {
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				to.SetLinger(0)
+			}
+			break
+		}
+	}
+	to.Close()
+	from.Close()
+}
--- /dev/null
+++ b/internal/standin/path_test.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Each fault of a path shows to whoever uses it, and a path is whole again after it.
+func TestPathFaults(t *testing.T) {
+	t.Parallel()
+	s, err := NewServer(ServerOptions{Name: "s"}, map[string]Work{"read": {Bytes: 20}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	p, err := NewPath(s.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	dial := func() net.Conn {
+		t.Helper()
+		c, err := net.DialTimeout("tcp", p.Addr, 5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	answer := func(c net.Conn, within time.Duration) error {
+		io.WriteString(c, "GET /health/live HTTP/1.1\r\n\r\n")
+		c.SetReadDeadline(time.Now().Add(within))
+		_, err := c.Read(make([]byte, 512))
+		return err
+	}
+	c := dial()
+	if err := answer(c, 5*time.Second); err != nil {
+		t.Fatal("whole:", err)
+	}
+	p.Set(PathSilent)
+	if err := answer(c, 100*time.Millisecond); !isTimeout(err) {
+		t.Errorf("silent: %v", err)
+	}
+	p.Set(PathWhole)
+	if err := answer(c, 5*time.Second); err == nil || isTimeout(err) {
+		t.Errorf("a connection that was silent is reset when the path is whole: %v", err)
+	}
+	c = dial()
+	answer(c, 5*time.Second)
+	p.Set(PathResets)
+	if err := answer(c, 5*time.Second); !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, io.EOF) {
+		t.Errorf("resets: %v", err)
+	}
+	p.Set(PathWhole)
+	if err := answer(dial(), 5*time.Second); err != nil {
+		t.Errorf("whole again: %v", err)
+	}
+	p.Set(PathLate)
+	late := 0
+	for range 4 { // the kernel takes one or two whatever it is told
+		if c, err := net.DialTimeout("tcp", p.Addr, 100*time.Millisecond); err != nil {
+			late++
+		} else {
+			defer c.Close()
+		}
+	}
+	if late == 0 {
+		t.Error("late: all connections come up")
+	}
+	p.Set(PathWhole)
+	if err := answer(dial(), 5*time.Second); err != nil {
+		t.Errorf("whole after late: %v", err)
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -57,6 +57,7 @@
 type Execution struct {
 	Server, ID, Class, Order, Key string
 	Got                           time.Time     // when its last byte had come
+	Told                          time.Duration // X-Time-Left; 0: none
 	Work                          time.Duration // that it asks of a warm core
 	Ran                           bool          // else it was turned away unseen
 	Repeat                        bool          // of a key: answered, with no effect
@@ -250,6 +251,9 @@
 		return append(out, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"...)
 	}
 	e := Execution{Server: s.Name, ID: h.id, Class: class, Key: h.key, Got: got, Work: w.Time}
+	if seconds, err := strconv.ParseFloat(h.left, 64); err == nil {
+		e.Told = time.Duration(seconds * float64(time.Second))
+	}
 	if values, err := url.ParseQuery(query); err == nil {
 		e.Order = values.Get("obj")
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -34,7 +34,7 @@
 	}
 	defer c.Close()
 	a := Answer{Order: order, ID: id, Key: key, Deadline: time.Now().Add(20 * time.Second)}
-	c.ask(Class{Name: class, Method: "POST", Body: 10}, &a)
+	c.ask(Class{Name: class, Method: "POST", Body: 10}, &a, 0)
 	return a.Status, a.First
 }
 
