Discovery: an answer of a watch that breaks off is asked for again at once, once

Change: errBroken begins the watch anew at once, once; a second one in a row goes to the module's backoff. In the rig a cut answer is a call that failed, as the protocol has it, and connect(2) fails by bits of its second argument: by descriptors the same one failed for ever.

--- a/cmd/rig/failing.go
+++ b/cmd/rig/failing.go
@@ -18,10 +18,12 @@
 	seccompAllow     = 0x7fff0000 // SECCOMP_RET_ALLOW
 	seccompError     = 0x00050000 // SECCOMP_RET_ERRNO
 	seccompNumber    = 0          // offset of the call's number
-	seccompFirst     = 16         // offset of its first argument
+	seccompAddress   = 24         // offset of its second argument: of connect(2) the address of the address, low half
+	addressShift     = 5          // bits that are the same for all such addresses
 )
 
-// connectErrors are what connect(2) fails with on some descriptors, by their number modulo 16: a filter has no memory, so that it can't fail now and then.
+// connectErrors are what connect(2) fails with, by four bits of the address at which the socket address lies. A filter has no memory, and these differ from
+// call to call.
 var connectErrors = map[uint32]syscall.Errno{5: syscall.EADDRNOTAVAIL, 9: syscall.ENOBUFS, 13: syscall.ENETUNREACH}
 
 // failing runs a program in this process's place, some of whose system calls fail.
@@ -41,13 +43,13 @@
 
 // connectFilter fails connect(2) as connectErrors says.
 func connectFilter() []unix.SockFilter {
-	const load, and, equal, give = unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, unix.BPF_ALU | unix.BPF_AND | unix.BPF_K,
+	const load, shift, and, equal, give = unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, unix.BPF_ALU | unix.BPF_RSH | unix.BPF_K, unix.BPF_ALU | unix.BPF_AND | unix.BPF_K,
 		unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, unix.BPF_RET | unix.BPF_K
 	allow := unix.SockFilter{Code: give, K: seccompAllow}
 	filter := []unix.SockFilter{{Code: load, K: seccompNumber}, {Code: equal, K: unix.SYS_CONNECT, Jt: 1}, allow,
-		{Code: load, K: seccompFirst}, {Code: and, K: 15}}
-	for descriptor, errno := range connectErrors {
-		filter = append(filter, unix.SockFilter{Code: equal, K: descriptor, Jf: 1}, unix.SockFilter{Code: give, K: seccompError | uint32(errno)})
+		{Code: load, K: seccompAddress}, {Code: shift, K: addressShift}, {Code: and, K: 15}}
+	for bits, errno := range connectErrors {
+		filter = append(filter, unix.SockFilter{Code: equal, K: bits, Jf: 1}, unix.SockFilter{Code: give, K: seccompError | uint32(errno)})
 	}
 	return append(filter, allow)
 }
--- a/internal/member/registry/endings_test.go
+++ b/internal/member/registry/endings_test.go
@@ -117,6 +117,43 @@
 	}
 }
 
+// An answer of a watch that breaks off is news that has not come: it is asked for again at once, and told. A second one that breaks off ends the watch.
+func TestBrokenAnswerIsAskedForAgain(t *testing.T) {
+	t.Parallel()
+	for again, want := range map[bool][]uint64{true: {7, 8}, false: {7}} {
+		var calls atomic.Int64
+		addr := testkit.Server(t, func(c net.Conn) {
+			in := bufio.NewReader(c)
+			for {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				n := calls.Add(1)
+				switch whole := list(8, false, drains); {
+				case n == 1:
+					io.WriteString(c, list(7, true, ""))
+				case n == 2 || !again:
+					io.WriteString(c, whole[:len(whole)-9])
+					c.(*net.TCPConn).SetLinger(0)
+					return
+				case n == 3:
+					io.WriteString(c, whole)
+				default:
+					return
+				}
+			}
+		})
+		d := New(netip.MustParseAddrPort(addr), decide.Settings{Nodes: 300}, testkit.Quiet)
+		var told []uint64
+		if err := d.Watch(t.Context(), nil, func(l core.List) { told = append(told, l.Version) }); err == nil || !slices.Equal(told, want) {
+			t.Errorf("again %v: told %v, %v; want %v", again, told, err, want)
+		}
+		if n := calls.Load(); again && n < 4 || !again && n != 3 {
+			t.Errorf("again %v: %d calls", again, n)
+		}
+	}
+}
+
 // An agent that is silent for a while, whatever way, learns nothing, and what it has when it is back counts as told at once: it is asked again, and followed,
 // within the grace that drains are given. Waits that doubled to 5 s let a drain go unnoticed for so long.
 func TestAgentComesBack(t *testing.T) {
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -168,7 +168,7 @@
 	defer resp.Body.Close()
 	var body bytes.Buffer
 	if _, err := body.ReadFrom(io.LimitReader(resp.Body, listLimit)); err != nil {
-		return core.List{}, err
+		return core.List{}, fmt.Errorf("%w: %w", errBroken, err)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return core.List{}, errUnavailable
@@ -213,12 +213,15 @@
 	return &core.CallError{Took: took, Crowded: crowded, Err: err}
 }
 
+// errBroken is of an answer that has begun and not come whole: there is news.
+var errBroken = errors.New("the answer broke off")
+
 // errOlder ends a watch whose answer is of a time before what it has told already: a server that drains by now may be ready in it.
 var errOlder = errors.New("list: older than what this watch has told")
 
 // Watch hands on each answer from a version on, also those that hold no changes, until a call fails. With no version to begin at, it begins with the whole list. Each further call follows the answer before it at once: discovery ends a
 // watch whose next call comes later than 200 ms, and what changes in that time counts as notified. A watch that has fallen silent, or whose
-// answer is older than the one before, is broken, and is begun anew at once: what it missed counts as notified soon.
+// answer is older than the one before or breaks off, is broken, and is begun anew at once: what it missed counts as notified soon.
 func (d *Registry) Watch(ctx context.Context, since *uint64, news func(core.List)) error {
 	return d.watch(ctx, since, d.asked, news)
 }
@@ -226,7 +229,7 @@
 func (d *Registry) watch(ctx context.Context, since *uint64, p pacing, news func(core.List)) error {
 	var version uint64
 	var answeredAt time.Time // the answer before, as it had come
-	renewed := false         // because of an older answer, and no good one has followed the first one since
+	renewed := false         // because of an answer that was no good, and no good one has followed the first one since
 	for first := true; ; {
 		asked := time.Now()
 		l, err := d.next(ctx, since, version, first, p)
@@ -241,6 +244,10 @@
 				d.log.Info("discovery: an answer is older than the one before; the whole list is asked for", "since", version, "revision", l.Version)
 				since, first, renewed = nil, true, true
 				continue
+			case errors.Is(err, errBroken) && !silent(err) && !renewed:
+				d.log.Info("discovery: an answer broke off; it is asked for again", "since", version, "err", err)
+				since, first, renewed = new(version), true, true
+				continue
 			}
 		}
 		if err != nil {
--- a/internal/standin/discovery/caller.go
+++ b/internal/standin/discovery/caller.go
@@ -297,7 +297,9 @@
 	if !s.fault.Cut && !c.left { // what does not arrive counts by time
 		c.notify(revision, ByAnswer, func(Change) time.Time { return now })
 	}
-	c.answered = now
+	if !s.fault.Cut { // else the call has failed
+		c.answered = now
+	}
 	return l, s.fault
 }
 
