Errors of accept end no server; a process that takes over asks discovery soon

The second address and the handover stayed dead. Also: a successor's first call to discovery was spread over 3.9 s at 300 nodes; news binds it 2 s after it serves. Change: internal/accept retries all but a closed listener, after 1 to 100 ms. Module.Restore has the first call within 0.5 s.

--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -133,6 +133,7 @@
 			v.tokens, v.tokensAt = 0, now // the other process may have spent them
 		}
 	}
+	m.askAt = min(m.askAt, now+time.Duration(m.random()*float64(succeedAsk)))
 	m.stale = true
 	m.choose()
 	for _, v := range m.near {
--- a/decide/snapshot_test.go
+++ b/decide/snapshot_test.go
@@ -108,3 +108,29 @@
 		}
 	}
 }
+
+// A process that takes over asks soon, however many nodes there are: what discovery tells binds it 2 s after it serves, and a first call that is spread over
+// all nodes came up to 3.9 s after its start.
+func TestSuccessorAsksSoon(t *testing.T) {
+	t.Parallel()
+	for seed := range int64(50) {
+		f := newAskingFleet(300, 10*time.Second, seed)
+		f.now, f.changeAt = time.Second, time.Hour
+		f.start(0)
+		m := f.nodes[0].module
+		if err := m.Restore(f.now, m.Snapshot(f.now)); err != nil {
+			t.Fatal(err)
+		}
+		began := f.now
+		for asked := false; !asked; {
+			f.now += tickEvery
+			for _, a := range m.Handle(f.now, TimerFired{}) {
+				_, asks := a.(Subscribe)
+				asked = asked || asks
+			}
+		}
+		if took := f.now - began; took > succeedAsk+tickEvery {
+			t.Fatalf("seed %d: asked after %v, %v at most", seed, took, succeedAsk)
+		}
+	}
+}
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"starlingvalve/internal/accept"
 	"starlingvalve/internal/admit"
 	"starlingvalve/internal/descriptors"
 	"starlingvalve/internal/front"
@@ -34,7 +35,9 @@
 // new one is refused. Silent clients then shut out nobody.
 type admission struct {
 	*net.TCPListener
-	gate    pause.Gate    // shut: no connection is accepted
+	next    func() (*net.TCPConn, error) // the listener's
+	gate    pause.Gate                   // shut: no connection is accepted
+	retry   accept.Retry
 	refused func(string)  // told the class of a request that is refused at the door
 	turning atomic.Int64  // connections that are being refused
 	ahead   atomic.Int64  // bytes that are read ahead
@@ -70,22 +73,23 @@
 }
 
 func newAdmission(l *net.TCPListener, limit int) *admission {
-	return &admission{TCPListener: l, began: time.Now(), room: admit.New(limit), refused: func(string) {}, freed: make(chan struct{}, 1)}
+	return &admission{TCPListener: l, next: l.AcceptTCP, began: time.Now(), room: admit.New(limit), refused: func(string) {}, freed: make(chan struct{}, 1)}
 }
 
 func (a *admission) now() time.Duration { return time.Since(a.began) }
 
 // Accept waits for the next connection that there is room for. The others are refused in goroutines of their own, at most
-// refuseMost at once. It fails as the listener does, for all but errors that pass.
+// refuseMost at once. It fails once the listener is closed, and for nothing else.
 func (a *admission) Accept() (net.Conn, error) {
 	for {
-		tcp, err := a.AcceptTCP()
+		tcp, err := a.next()
 		if err != nil {
-			if a.gate.Retry(err) {
+			if a.gate.Retry(err) || a.retry.After(err) {
 				continue
 			}
 			return nil, err
 		}
+		a.retry.Reset()
 		if a.makeRoom() {
 			return a.admit(tcp), nil
 		}
--- a/internal/front/http1/admission_test.go
+++ b/internal/front/http1/admission_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +55,33 @@
 	c.owner.room.Set(&c.Conn, s, c.owner.now()-age)
 }
 
+// Whatever accept(2) fails with, the next connection is taken: errors of a connection that was waiting, of the network and of the machine once ended the
+// front, and the process with it.
+func TestAcceptErrorsEndNothing(t *testing.T) {
+	t.Parallel()
+	a, dial, accept := doorstep(t, 3)
+	errs := []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH,
+		syscall.ENETUNREACH, syscall.EINTR}
+	next := a.next
+	a.next = func() (*net.TCPConn, error) {
+		if len(errs) == 0 {
+			return next()
+		}
+		errno := errs[0]
+		errs = errs[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+	}
+	dial()
+	accept()
+	if len(errs) > 0 {
+		t.Errorf("%d errors were not met", len(errs))
+	}
+	a.Close()
+	if _, err := a.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("a closed listener: %v", err)
+	}
+}
+
 // At the bound what brings nothing goes first, one with a request open never, and a request that crosses its
 // connection's end is not passed on. A request that is refused at the door is counted under its class.
 func TestAdmission(t *testing.T) {
--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"starlingvalve/internal/accept"
 )
 
 const (
@@ -69,11 +71,16 @@
 	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
 	defer stop()
 	defer s.remove()
+	var retry accept.Retry
 	for {
 		c, err := s.listener.AcceptUnix()
 		if err != nil {
+			if retry.After(err) {
+				continue
+			}
 			return
 		}
+		retry.Reset()
 		ended := context.AfterFunc(ctx, func() { c.Close() })
 		if !sameUser(c) {
 			s.log.Warn("handover: another user's process was turned away")
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"starlingvalve/internal/accept"
 )
 
 const (
@@ -69,8 +71,9 @@
 // door bounds the connections of a listener.
 type door struct {
 	*net.TCPListener
-	mu   sync.Mutex
-	open []*conn // the oldest first
+	retry accept.Retry
+	mu    sync.Mutex
+	open  []*conn // the oldest first
 }
 
 // conn embeds *net.TCPConn: net/http would reset connections whose CloseWrite it doesn't see.
@@ -80,13 +83,17 @@
 	once  sync.Once
 }
 
-// Accept waits for the next connection. With Connections open already, it closes the oldest. It fails as the listener
-// does.
+// Accept waits for the next connection. With Connections open already, it closes the oldest. It fails once the listener is
+// closed, and for nothing else.
 func (d *door) Accept() (net.Conn, error) {
 	raw, err := d.AcceptTCP()
+	for err != nil && d.retry.After(err) {
+		raw, err = d.AcceptTCP()
+	}
 	if err != nil {
 		return nil, err
 	}
+	d.retry.Reset()
 	c := &conn{TCPConn: raw, owner: d}
 	d.mu.Lock()
 	var oldest *conn
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"starlingvalve/decide"
+	"starlingvalve/internal/guard"
+	"starlingvalve/internal/serverlist"
 	"starlingvalve/internal/stats"
 	"starlingvalve/internal/testkit"
 )
@@ -79,10 +82,25 @@
 	f.Taken(3)
 	f.Taken(-1)
 	f.Cluster(12, 2)
+	f.Ended(int(decide.TimedOut))
+	f.Applied(int(serverlist.SourceWatch), 3)
+	f.List(41, 1500*time.Millisecond, true)
+	g := guard.New(time.Second, nil)
+	f.Guarded(g)
+	g.May(guard.Attempt{Departed: true})
+	g.Ended(false)
 	_, text := call(t, addr, "GET /stats"+host)
 	want := "gw.transactions.clip.answered:1|c\ngw.transactions.clip.deferred:2|c\ngw.transactions.clip.errored:0|c\n" +
 		"gw.transactions.order.answered:0|c\ngw.transactions.order.deferred:0|c\ngw.transactions.order.errored:1|c\n" +
-		"gw.sends:1|c\ngw.current:2|g\ngw.cluster_size:12|g\ngw.cluster_unhealthy:2|g\n"
+		"gw.sends:1|c\ngw.current:2|g\ngw.cluster_size:12|g\ngw.cluster_unhealthy:2|g\n" +
+		"gw.attempts.ok:0|c\ngw.attempts.error:0|c\ngw.attempts.full:0|c\ngw.attempts.timeout:1|c\ngw.attempts.connect:0|c\n" +
+		"gw.attempts.reset:0|c\ngw.attempts.cancelled:0|c\ngw.attempts.moot:0|c\n" +
+		"gw.lists.cache:0|c\ngw.lists.predecessor:0|c\ngw.lists.call:0|c\ngw.lists.watch:1|c\ngw.lists.push:0|c\ngw.lists.cordon:0|c\n" +
+		"gw.transitions:3|c\ngw.list.revision:41|g\ngw.list.age_ms:1500|g\ngw.list.watched:1|g\n" +
+		"gw.guard.lost.refused:0|c\ngw.guard.lost.violated:1|c\ngw.guard.duplicate.refused:0|c\ngw.guard.duplicate.violated:0|c\n" +
+		"gw.guard.drain.refused:0|c\ngw.guard.drain.violated:0|c\ngw.guard.failback.refused:0|c\ngw.guard.failback.violated:0|c\n" +
+		"gw.guard.deadline.refused:0|c\ngw.guard.deadline.violated:0|c\ngw.guard.departed.refused:1|c\ngw.guard.departed.violated:0|c\n" +
+		"gw.guard.unwatched_sends:0|c\n"
 	if text != want {
 		t.Errorf("figures\n%s, want\n%s", text, want)
 	}
