The operators' socket goes on after errors of accept, too

Cause: control's door handed its listener to net/http, which ends after the errors of accept(2) that it does not take for passing ones (ENOBUFS, ENOMEM, EPROTO, ...); the socket then stayed dead. Change: accept.Listener, with a test. Measured: packages accept and control with -race.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -29,3 +29,23 @@
 
 // Reset is called after each connection that was accepted.
 func (r *Retry) Reset() { r.wait = 0 }
+
+// Listener is a listener whose Accept fails once it is closed, and for nothing else. One goroutine accepts.
+type Listener struct {
+	net.Listener
+	retry Retry
+}
+
+// Accept is net.Listener's.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			l.retry.Reset()
+			return c, nil
+		}
+		if !l.retry.After(err) {
+			return nil, err
+		}
+	}
+}
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -40,3 +41,41 @@
 		t.Error("a closed listener is retried")
 	}
 }
+
+// failing fails some times before it gives a connection.
+type failing struct {
+	net.Listener
+	left int
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if f.left > 0 {
+		f.left--
+		return nil, os.NewSyscallError("accept4", syscall.ENOBUFS)
+	}
+	return f.Listener.Accept()
+}
+
+// A listener gives the next connection whatever failed before, and fails once it is closed.
+func TestListener(t *testing.T) {
+	t.Parallel()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &Listener{Listener: &failing{inner, 3}}
+	dialed, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	l.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("closed: %v", err)
+	}
+}
--- a/internal/control/door.go
+++ b/internal/control/door.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"starlingvalve/internal/accept"
 	"starlingvalve/internal/configuration/configpb"
 	"starlingvalve/internal/fleet/fleetpb"
 	"starlingvalve/internal/link"
@@ -62,7 +63,7 @@
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: doorWait, WriteTimeout: 2 * doorWait, IdleTimeout: time.Minute}
 	stop := context.AfterFunc(n.ctx, func() { srv.Close() })
 	defer stop()
-	srv.Serve(l)
+	srv.Serve(&accept.Listener{Listener: l})
 }
 
 // answerQuery answers a question about the configuration.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -187,3 +187,15 @@
 		}
 	})
 }
+
+// BenchmarkAttempt is what the guard costs for one attempt: the check before, and the count after.
+func BenchmarkAttempt(b *testing.B) {
+	g := New(grace, nil)
+	a := good()
+	b.ReportAllocs()
+	for b.Loop() {
+		if g.May(a) == None {
+			g.Sent(a, a.Now)
+		}
+	}
+}
