Core: attempts and lists in files of their own; a start told on an open watch is recent

Moves of whole functions, no change of behaviour: attempts.go (send, over, upload, stream), list.go (watch, move, news). One change of behaviour: news on a watch that is open is taken as fresh for the start of a server (ageOf), in place of the time since the answer before, which is up to 20 s in a large fleet: a wall clock that was stepped by seconds could make a server in slow start look warm.

--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"starlingvalve/decide"
@@ -10,6 +12,95 @@
 // transitionsLogged is how many changes of state one list is logged with; a fleet that is replaced at once brings thousands.
 const transitionsLogged = 16
 
+// subscribe begins a watch, or begins it anew so that there is an answer, unless the answer is still to come.
+func (l *Loop) subscribe(on bool) {
+	if on && l.endWatch != nil && !l.watchOpen {
+		return
+	}
+	l.unwatch()
+	if !on {
+		return
+	}
+	ctx, current := l.watching()
+	d, since := l.members, l.view.Revision()
+	l.work.Go(func() {
+		err := d.Watch(ctx, since, func(n List) { current(func() { l.answered(n) }) })
+		current(func() { l.unwatch(); l.told(List{}, err) })
+	})
+}
+
+// listen keeps a watch where lists are pushed and so nobody asks for one.
+func (l *Loop) listen() {
+	ctx, current := l.watching()
+	d, since := l.members, l.view.Revision()
+	l.work.Go(func() { d.Follow(ctx, since, func(n List) { current(func() { l.answered(n) }) }) })
+}
+
+// watching gives what a new watch needs: a context, and a way into the loop for as long as it is not ended.
+func (l *Loop) watching() (context.Context, func(func())) {
+	ctx, cancel := context.WithCancel(l.ctx)
+	l.endWatch, l.watchOpen = cancel, false
+	return ctx, func(f func()) {
+		l.post(func() {
+			if ctx.Err() == nil {
+				f()
+			}
+		})
+	}
+}
+
+func (l *Loop) unwatch() {
+	if l.endWatch != nil {
+		l.endWatch()
+		l.endWatch = nil
+	}
+	l.view.Unwatch(time.Now())
+	l.guard.Watched(l.view.Watched())
+}
+
+// Move has membership come from another source, the whole list first: its versions need not go on from those
+// that the old one gave. A watch at the old one may hang, and would be taken for one that is kept. To the module it has
+// broken: all nodes may move at the same moment, and the module spreads their calls.
+func (l *Loop) Move(to Membership) {
+	l.post(func() {
+		l.unwatch()
+		l.members.Close()
+		l.members = to
+		l.view.Moved(time.Now())
+		if l.settings.AskForList {
+			l.handle(decide.ListUpdate{Kind: decide.ListFailed})
+		} else {
+			l.listen()
+		}
+	})
+}
+
+// fetched takes a list that was asked for beside the watch, from d.
+func (l *Loop) fetched(d Membership, n List, err error) {
+	switch {
+	case d != l.members:
+		n, err = List{}, errors.New("discovery has moved")
+	case err == nil && l.endWatch != nil && l.view.Revision() != nil && n.Version < *l.view.Revision():
+		return // the watch that is kept has told newer news
+	}
+	n.Source = serverlist.SourceCall
+	l.told(n, err)
+}
+
+// told takes the answer to a call that the module made.
+func (l *Loop) told(n List, err error) {
+	if err != nil {
+		l.log.Info("discovery", "err", err)
+		failed := decide.ListUpdate{Kind: decide.ListFailed}
+		if call := (*CallError)(nil); errors.As(err, &call) {
+			failed.Took, failed.Crowded = call.Took, call.Crowded
+		}
+		l.handle(failed)
+		return
+	}
+	l.news(n)
+}
+
 // answered takes an answer of the watch. The module is told of the first one in any case: it waits for it.
 func (l *Loop) answered(n List) {
 	first := !l.watchOpen
@@ -46,7 +137,7 @@
 
 // enforce puts a list, or a part of it, in force: connections first, so that nothing goes where the list says no.
 func (l *Loop) enforce(u serverlist.Update, kind decide.ListKind) {
-	e := decide.ListUpdate{Kind: kind, Version: u.List.Version, Age: max(0, u.Age), Entries: make([]decide.Server, 0, len(u.List.Entries))}
+	e := decide.ListUpdate{Kind: kind, Version: u.List.Version, Age: ageOf(u), Entries: make([]decide.Server, 0, len(u.List.Entries))}
 	for _, entry := range u.List.Entries {
 		e.Entries = append(e.Entries, entry.Server)
 	}
@@ -58,6 +149,18 @@
 	l.logTransitions(u)
 }
 
+// promptly is how old news on an open watch is at most: an answer follows a change at once.
+const promptly = time.Millisecond
+
+// ageOf is how long ago what a list brings may have happened; 0: that is not known.
+func ageOf(u serverlist.Update) time.Duration {
+	onWatch := u.List.Source == serverlist.SourceWatch || u.List.Source == serverlist.SourcePush
+	if onWatch && u.Age > 0 && u.List.StaleSince.IsZero() {
+		return min(u.Age, promptly)
+	}
+	return max(0, u.Age)
+}
+
 // logTransitions says what a list has changed, where it came from, and how old what was believed before is.
 func (l *Loop) logTransitions(u serverlist.Update) {
 	l.figures.Applied(int(u.List.Source), len(u.Transitions))
@@ -86,13 +189,3 @@
 	watched, _ := l.view.Watched()
 	l.figures.List(revision, l.view.Age(time.Now()), watched)
 }
-
-// mayHaveRun tells whether an attempt that a request has had may have run, or may yet.
-func (r *Request) mayHaveRun() bool {
-	for _, t := range r.attempts {
-		if !t.neverRan {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -241,21 +241,6 @@
 	answer(a)
 }
 
-// answering notes whether an answer has begun.
-type answering struct {
-	http.ResponseWriter
-	answered bool
-}
-
-// WriteHeader is http.ResponseWriter's.
-func (a *answering) WriteHeader(status int) {
-	a.answered = true
-	a.ResponseWriter.WriteHeader(status)
-}
-
-// Unwrap is for http.ResponseController.
-func (a *answering) Unwrap() http.ResponseWriter { return a.ResponseWriter }
-
 // turnAway answers what has not been taken. One from another site, whose own checks it has passed, does not fit this
 // site's settings: that is no fault of its client's, and its own site answers it.
 func (f *Handler) turnAway(w http.ResponseWriter, status int, fault string) {
