Stand-in discovery: a call that silence swallows means that it can't be reached

Trace: discovery was down from 43.4 to 46.6 s; n03, n07 and n16 asked last at 46.3 and again, within their ceiling of 3.9 s, at 50.0; there discovery was silent from 49.4 to 52.1 and swallowed the call, which ended after 3 s. Cause: the stand-in counted 6 s from 46.6, though a service that answers no call can't be reached until 52.1. The rig's fault: mended there, with a test. The program is unchanged.

--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -168,3 +168,34 @@
 		t.Errorf("status %d after %v", status, time.Since(began))
 	}
 }
+
+// A call that was to begin a watch and is swallowed by silence means that the service can't be reached: FollowWithin begins with the end of the silence.
+func TestSwallowedCallCountsFromTheEndOfSilence(t *testing.T) {
+	t.Parallel()
+	s := service(t)
+	c := caller(t, s.Listen)
+	s.SetFault(Fault{Silent: true})
+	change := s.Set(entry("draining"))
+	asked := make(chan struct{})
+	go func() { defer close(asked); ask(t, c, "?since=1&timeout_ms=1") }()
+	for unheard := false; !unheard; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		unheard = c.unheard
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	c.byTime(change.At.Add(time.Hour))
+	s.mu.Unlock()
+	if _, notified := draining(c); notified {
+		t.Error("it counts while the service is silent")
+	}
+	s.SetFault(Fault{})
+	s.mu.Lock()
+	at := c.countsBy(change)
+	s.mu.Unlock()
+	if want := c.reachable.Add(FollowWithin); !at.Equal(want) {
+		t.Errorf("it counts at %v, want %v", at, want)
+	}
+	s.Close()
+	<-asked
+}
--- a/internal/standin/discovery/service.go
+++ b/internal/standin/discovery/service.go
@@ -108,6 +108,11 @@
 		s.reachable = now
 		s.outages[len(s.outages)-1].to = now
 	}
+	for _, c := range s.callers {
+		if !f.Silent && c.unheard {
+			c.unheard, c.reachable = false, now
+		}
+	}
 	s.fault = f
 	s.wake()
 }
