--- a/cmd/rig/failing.go
+++ b/cmd/rig/failing.go
@@ -22,8 +22,8 @@
 	addressShift     = 5          // bits that are the same for all such addresses
 )
 
-// connectErrors are what connect(2) fails with, by four bits of the address at which the socket address lies. A filter has no memory, and these differ from
-// call to call.
+// connectErrors are what connect(2) fails with, by four bits of the address at which the socket address lies. A filter
+// has no memory, and these differ from call to call.
 var connectErrors = map[uint32]syscall.Errno{5: syscall.EADDRNOTAVAIL, 9: syscall.ENOBUFS, 13: syscall.ENETUNREACH}
 
 // failing runs a program in this process's place, some of whose system calls fail.
--- a/cmd/rig/soak.go
+++ b/cmd/rig/soak.go
@@ -34,8 +34,8 @@
 // errVoid is a run in which the machine was too late to judge anybody.
 var errVoid = errors.New("the machine was late: the run is void")
 
-// soakRig has faults of all kinds overlap in a fleet of real processes, and judges it by what clients, servers and discovery log, and by the
-// count of the nodes' guards.
+// soakRig has faults of all kinds overlap in a fleet of real processes, and judges it by what clients, servers and
+// discovery log, and by the count of the nodes' guards.
 func soakRig(ctx context.Context, o *options) error {
 	w, err := newWorkshop(ctx, o.binary)
 	if err != nil {
--- a/cmd/rig/soakplay.go
+++ b/cmd/rig/soakplay.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// play has clients ask and faults happen, and gives what was logged. late is by how much the rig's own clock was held up at worst.
+// play has clients ask and faults happen, and gives what was logged. late is by how much the rig's own clock was held
+// up at worst.
 func (p *soakPlay) play(ctx context.Context, list []soak.Fault, length time.Duration) (e soak.Evidence, late time.Duration, err error) {
 	measured, stop := context.WithCancel(ctx)
 	defer stop()
--- a/cmd/starlingvalve/unwatched_test.go
+++ b/cmd/starlingvalve/unwatched_test.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// drainAfter has a server drain right after the next answer of discovery that has this many before it, and makes requests for a while. It
-// tells how many requests came to that server later than it may be sent any.
+// drainAfter has a server drain right after the next answer of discovery that has this many before it, and makes
+// requests for a while. It tells how many requests came to that server later than it may be sent any.
 func (n *unwatched) drainAfter(c *discovery.Caller, s *discovery.Service, answers int) (late int) {
 	n.t.Helper()
 	answered := make(chan struct{})
@@ -166,9 +166,10 @@
 	return 0
 }
 
-// A process has asked discovery, and the answer came slowly, as others were asking too. A server begins to drain right after that
-// answer. The process has to follow it, however it came to ask: at its start, after an outage that ended its watch, and after
-// a reload. It went on with its watch only 2.9 to 3.9 s later, and sent by the list before until then.
+// A process has asked discovery, and the answer came slowly, as others were asking too. A server begins to drain right
+// after that answer. The process has to follow it, however it came to ask: at its start, after an outage that ended
+// its watch, and after a reload. It went on with its watch only 2.9 to 3.9 s later, and sent by the list before until
+// then.
 func TestDrainRightAfterSlowAnswer(t *testing.T) {
 	t.Run("start", func(t *testing.T) {
 		t.Parallel()
--- a/decide/wallclock_test.go
+++ b/decide/wallclock_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A server's start is told by a wall clock that may have been stepped by an hour, either way, before this process began or since. One that
-// the list before did not have yet is in slow start all the same, and for its own time only.
+// A server's start is told by a wall clock that may have been stepped by an hour, either way, before this process
+// began or since. One that the list before did not have yet is in slow start all the same, and for its own time only.
 func TestSlowStartThoughTheWallClockWasStepped(t *testing.T) {
 	t.Parallel()
 	const second, hour = time.Second, time.Hour
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -1,5 +1,6 @@
-// Package accept decides what follows an error of a listener's accept. Linux also gives errors there that say nothing of the listener: of a
-// connection that ended in the queue, of the network, or of this machine's descriptors and memory. None of them may end a server.
+// Package accept decides what follows an error of a listener's accept. Linux also gives errors there that say nothing
+// of the listener: of a connection that ended in the queue, of the network, or of this machine's descriptors and
+// memory. None of them may end a server.
 package accept
 
 import (
@@ -8,7 +9,8 @@
 	"time"
 )
 
-// The wait after an error doubles from waitFirst up to waitMost. A machine that is short of something would otherwise spin.
+// The wait after an error doubles from waitFirst up to waitMost. A machine that is short of something would otherwise
+// spin.
 const (
 	waitFirst = time.Millisecond
 	waitMost  = 100 * time.Millisecond
@@ -17,7 +19,8 @@
 // Retry is the state of one goroutine that accepts. Its zero value is ready.
 type Retry struct{ wait time.Duration }
 
-// After waits for a moment after an error, and tells whether to accept again: always, but for a listener that is closed.
+// After waits for a moment after an error, and tells whether to accept again: always, but for a listener that is
+// closed.
 func (r *Retry) After(err error) bool {
 	if errors.Is(err, net.ErrClosed) {
 		return false
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -11,7 +11,8 @@
 	"time"
 )
 
-// All that accept(2) documents is retried, with a wait that grows to a bound and begins anew after a connection; a closed listener is not.
+// All that accept(2) documents is retried, with a wait that grows to a bound and begins anew after a connection; a
+// closed listener is not.
 func TestAfter(t *testing.T) {
 	t.Parallel()
 	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.EPROTO,
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -9,7 +9,8 @@
 	"starlingvalve/internal/serverlist"
 )
 
-// transitionsLogged is how many changes of state one list is logged with; a fleet that is replaced at once brings thousands.
+// transitionsLogged is how many changes of state one list is logged with; a fleet that is replaced at once brings
+// thousands.
 const transitionsLogged = 16
 
 // subscribe begins a watch, or begins it anew so that there is an answer, unless the answer is still to come.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -1,6 +1,7 @@
-// Package guard is the one place that each effect of a process passes at the last moment before it takes place: an attempt
-// at a server, the first one or a further one, and the end of a client's request. It refuses what would break a rule, and counts by rule what got past
-// it. It is pure but for its counters: times come in as arguments, and it knows no connection.
+// Package guard is the one place that each effect of a process passes at the last moment before it takes place: an
+// attempt at a server, the first one or a further one, and the end of a client's request. It refuses what would break
+// a rule, and counts by rule what got past it. It is pure but for its counters: times come in as arguments, and it
+// knows no connection.
 package guard
 
 import (
@@ -89,8 +90,8 @@
 	return a.MayHaveRun && a.Effect == decide.Unsafe || !a.WriteBy.IsZero() && !a.Now.Before(a.WriteBy)
 }
 
-// Guard counts what was refused and what got past it. All its methods can be called from several goroutines. A nil Guard checks
-// and counts nothing.
+// Guard counts what was refused and what got past it. All its methods can be called from several goroutines. A nil
+// Guard checks and counts nothing.
 type Guard struct {
 	grace    time.Duration // that servers which drain are given
 	refused  [rules]atomic.Int64
@@ -116,8 +117,8 @@
 	return r
 }
 
-// Sent judges an attempt that has been written, by what is known now, and counts the rules that it broke all the same. began is
-// when its first byte was written.
+// Sent judges an attempt that has been written, by what is known now, and counts the rules that it broke all the same.
+// began is when its first byte was written.
 func (g *Guard) Sent(a Attempt, began time.Time) {
 	if g == nil {
 		return
@@ -151,8 +152,8 @@
 	return left < -DeadlineSlack || a.Told > max(0, left)+DeadlineSlack
 }
 
-// SentBefore judges attempts that were sent to a server before it was known to drain or be gone: the process may have counted as notified
-// since a time, as its watch was resumed too late. last is the latest of them.
+// SentBefore judges attempts that were sent to a server before it was known to drain or be gone: the process may have
+// counted as notified since a time, as its watch was resumed too late. last is the latest of them.
 func (g *Guard) SentBefore(last, notified time.Time) {
 	if g != nil && !notified.IsZero() && last.Sub(notified) > g.grace {
 		g.Violated(Drain, Attempt{Now: last, OffSince: notified})
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// The incident: a watch that was resumed too late brings a drain. What was sent after the grace is counted then, and attempts
-// that are sent meanwhile count as sent by a list that nothing keeps fresh.
+// The incident: a watch that was resumed too late brings a drain. What was sent after the grace is counted then, and
+// attempts that are sent meanwhile count as sent by a list that nothing keeps fresh.
 func TestSentBeforeItWasKnown(t *testing.T) {
 	t.Parallel()
 	g := New(grace, nil)
--- a/internal/member/registry/local_test.go
+++ b/internal/member/registry/local_test.go
@@ -33,8 +33,9 @@
 	return f.RoundTripper.RoundTrip(r)
 }
 
-// What fails for want of something on this machine is tried again at once, within the same call: with backoffs as after a failure of discovery's a
-// process whose connections failed now and then did not follow a change for 10 s. What discovery's machine refuses is a failure of discovery.
+// What fails for want of something on this machine is tried again at once, within the same call: with backoffs as
+// after a failure of discovery's a process whose connections failed now and then did not follow a change for 10 s.
+// What discovery's machine refuses is a failure of discovery.
 func TestLocalFailuresAreTriedAgain(t *testing.T) {
 	t.Parallel()
 	for errno, again := range map[syscall.Errno]bool{syscall.EADDRNOTAVAIL: true, syscall.ENETUNREACH: true, syscall.ENOBUFS: true, syscall.ENFILE: true,
--- a/internal/rig/soak/schedule.go
+++ b/internal/rig/soak/schedule.go
@@ -1,5 +1,5 @@
-// Package soak has the schedule of a soak test's faults, and the checker that judges it by what clients, servers and discovery have
-// logged and by the nodes' own count of violations. It starts nothing.
+// Package soak has the schedule of a soak test's faults, and the checker that judges it by what clients, servers and
+// discovery have logged and by the nodes' own count of violations. It starts nothing.
 package soak
 
 import (
@@ -61,8 +61,8 @@
 	Server int     `json:"server"` // of server kinds
 }
 
-// Draw draws a schedule of faults that overlap: drains and releases of servers all the time, and each other kind in turn before any
-// comes again. A node or a server has one fault at a time, and discovery too.
+// Draw draws a schedule of faults that overlap: drains and releases of servers all the time, and each other kind in
+// turn before any comes again. A node or a server has one fault at a time, and discovery too.
 func Draw(seed uint64, length time.Duration, nodes, servers int) (list []Fault) {
 	r := rand.New(rand.NewPCG(seed, 0x736f616b))
 	end := length.Seconds() - 4
--- a/internal/serverlist/list.go
+++ b/internal/serverlist/list.go
@@ -1,5 +1,5 @@
-// Package serverlist holds what a process knows of the servers that there are: the list in force, its revision, who told it,
-// and how old that knowledge is. It is pure: times come in as arguments.
+// Package serverlist holds what a process knows of the servers that there are: the list in force, its revision, who
+// told it, and how old that knowledge is. It is pure: times come in as arguments.
 package serverlist
 
 import (
@@ -41,8 +41,8 @@
 	Entries []Entry
 
 	Source Source `json:"-"`
-	// StaleSince is set if the watch that brings this list was resumed too late: from then on the process may have counted as
-	// notified of what the list says.
+	// StaleSince is set if the watch that brings this list was resumed too late: from then on the process may have
+	// counted as notified of what the list says.
 	StaleSince time.Time `json:"-"`
 }
 
--- a/internal/serverlist/view.go
+++ b/internal/serverlist/view.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// ContinueWithin is the time from an answer of a watch to its next call. A later one begins a new watch, and what changed
-	// within this time counts as notified although nothing has brought it.
+	// ContinueWithin is the time from an answer of a watch to its next call. A later one begins a new watch, and what
+	// changed within this time counts as notified although nothing has brought it.
 	ContinueWithin = 200 * time.Millisecond
 	// OlderTrusted is how long a list with a lower revision than the one in force has to stand before it brings back
 	// servers that were draining or gone: a replica of discovery may lag, or the revisions may have begun anew.
@@ -147,8 +147,8 @@
 	v.off[e.ID] = o
 }
 
-// holdBack keeps a server draining that a list has as ready, if a later revision said that it is not. One that has started since is
-// another process. If no newer list comes, the older one is believed after OlderTrusted.
+// holdBack keeps a server draining that a list has as ready, if a later revision said that it is not. One that has
+// started since is another process. If no newer list comes, the older one is believed after OlderTrusted.
 func (v *View) holdBack(e Entry, revision uint64, now time.Time) Entry {
 	o, off := v.off[e.ID]
 	if !off || e.State != decide.Ready || revision >= o.revision || e.StartedAt > o.started {
@@ -180,7 +180,8 @@
 	return entries
 }
 
-// noteGone remembers the servers that a whole list does not name any more, and forgets those that have been gone for long.
+// noteGone remembers the servers that a whole list does not name any more, and forgets those that have been gone for
+// long.
 func (v *View) noteGone(list []Transition, now time.Time) {
 	for _, t := range list {
 		if _, off := v.off[t.Server.ID]; t.To == decide.Gone && !off {
@@ -221,7 +222,8 @@
 	}
 }
 
-// Moved notes that the list comes from another source from now on: revisions begin anew there, and all of it has to be asked for.
+// Moved notes that the list comes from another source from now on: revisions begin anew there, and all of it has to be
+// asked for.
 func (v *View) Moved(now time.Time) {
 	v.Unwatch(now)
 	v.known, v.revision = false, 0
@@ -259,7 +261,8 @@
 	return e
 }
 
-// List is the whole list as it was told, without cordons. ok is false if none was, or the source has moved and told none yet.
+// List is the whole list as it was told, without cordons. ok is false if none was, or the source has moved and told
+// none yet.
 func (v *View) List() (l List, ok bool) {
 	if !v.known {
 		return List{}, false
--- a/internal/serverlist/view_test.go
+++ b/internal/serverlist/view_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// A list that is older than the one that had a server drain or go does not bring it back, unless it has started since, or the older
-// revisions stand for OlderTrusted.
+// A list that is older than the one that had a server drain or go does not bring it back, unless it has started since,
+// or the older revisions stand for OlderTrusted.
 func TestOlderListBringsNothingBack(t *testing.T) {
 	t.Parallel()
 	for name, off := range map[string]List{
@@ -124,7 +124,8 @@
 	expect(t, v, 1, decide.Gone)
 }
 
-// Cordoned servers drain whatever the list says, and are back with the end of the cordon only if it still has them ready.
+// Cordoned servers drain whatever the list says, and are back with the end of the cordon only if it still has them
+// ready.
 func TestCordon(t *testing.T) {
 	t.Parallel()
 	v := NewView()
@@ -142,8 +143,8 @@
 	expect(t, v, 1, decide.Ready)
 }
 
-// Whatever lists come in whatever order, the count of ready servers is that of the states in force, and nothing that is draining by a
-// revision is made ready by a lower one of the same process within OlderTrusted.
+// Whatever lists come in whatever order, the count of ready servers is that of the states in force, and nothing that
+// is draining by a revision is made ready by a lower one of the same process within OlderTrusted.
 func TestViewUnderAnyLists(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/standin/discovery/caller.go
+++ b/internal/standin/discovery/caller.go
@@ -66,7 +66,8 @@
 	Servers []standin.Entry `json:"servers"`
 }
 
-// Started tells that a new process begins, with the list of a revision. What earlier ones were notified of binds it no more.
+// Started tells that a new process begins, with the list of a revision. What earlier ones were notified of binds it no
+// more.
 func (c *Caller) Started(revision uint64) {
 	s := c.service
 	s.mu.Lock()
@@ -82,8 +83,8 @@
 	}
 }
 
-// Follow has a process ask here from now on, and no more at the caller before. What that one has notified it of stands; what changes binds
-// it here, after a delay.
+// Follow has a process ask here from now on, and no more at the caller before. What that one has notified it of
+// stands; what changes binds it here, after a delay.
 func (c *Caller) Follow(before *Caller, delay time.Duration) {
 	s := c.service
 	s.mu.Lock()
--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -55,7 +55,8 @@
 	return n, false
 }
 
-// A change counts when an answer holds it; when it came within ContinueWithin of an answer and no further call did; and by time.
+// A change counts when an answer holds it; when it came within ContinueWithin of an answer and no further call did;
+// and by time.
 func TestWhenAChangeCounts(t *testing.T) {
 	t.Parallel()
 	t.Run("answer", func(t *testing.T) {
@@ -169,7 +170,8 @@
 	}
 }
 
-// A call that was to begin a watch and is swallowed by silence means that the service can't be reached: FollowWithin begins with the end of the silence.
+// A call that was to begin a watch and is swallowed by silence means that the service can't be reached: FollowWithin
+// begins with the end of the silence.
 func TestSwallowedCallCountsFromTheEndOfSilence(t *testing.T) {
 	t.Parallel()
 	s := service(t)
--- a/internal/standin/discovery/service.go
+++ b/internal/standin/discovery/service.go
@@ -1,6 +1,6 @@
-// Package discovery is a stand-in for the service that tells nodes which servers there are. It works through calls in turn, can
-// fail in many ways, and keeps, for each process that asks it, the log of when that process counts as notified of each change.
-// Nothing in that log comes from the processes themselves.
+// Package discovery is a stand-in for the service that tells nodes which servers there are. It works through calls in
+// turn, can fail in many ways, and keeps, for each process that asks it, the log of when that process counts as
+// notified of each change. Nothing in that log comes from the processes themselves.
 package discovery
 
 import (
@@ -17,8 +17,8 @@
 const (
 	// QueueLimit is how long a call may wait for its turn; then it ends with 503.
 	QueueLimit = 2 * time.Second
-	// ContinueWithin is the time from an answer to the next call of the same watch. After that the watch has ended, and what
-	// changed in this time counts as notified.
+	// ContinueWithin is the time from an answer to the next call of the same watch. After that the watch has ended,
+	// and what changed in this time counts as notified.
 	ContinueWithin = 200 * time.Millisecond
 	// FollowWithin is how long after the service had a change and could be reached a process counts as notified of it,
 	// whatever became of its calls.
@@ -164,7 +164,8 @@
 // Listen opens the service to one process, and those that follow it under the same name.
 func (s *Service) Listen(process string) (*Caller, error) { return s.listen(process, false) }
 
-// Agent opens an agent of one process's own machine, which answers at once with what it has: that counts as notified whether it is asked or not.
+// Agent opens an agent of one process's own machine, which answers at once with what it has: that counts as notified
+// whether it is asked or not.
 func (s *Service) Agent(process string) (*Caller, error) { return s.listen(process, true) }
 
 func (s *Service) listen(process string, agent bool) (*Caller, error) {
--- a/internal/standin/path.go
+++ b/internal/standin/path.go
@@ -73,7 +73,8 @@
 	p.changed.Broadcast()
 }
 
-// setBacklog bounds the connections that the kernel takes before they are accepted: beyond, it drops what would begin one.
+// setBacklog bounds the connections that the kernel takes before they are accepted: beyond, it drops what would begin
+// one.
 func (p *Path) setBacklog(n int) {
 	raw, err := p.listener.SyscallConn()
 	if err != nil {
@@ -82,7 +83,8 @@
 	raw.Control(func(fd uintptr) { unix.Listen(int(fd), n) })
 }
 
-// resetQueued resets the connections that the kernel has taken while none came up: what was written to them would arrive late.
+// resetQueued resets the connections that the kernel has taken while none came up: what was written to them would
+// arrive late.
 func (p *Path) resetQueued() {
 	for {
 		p.listener.SetDeadline(time.Now().Add(time.Millisecond))
--- a/internal/upstream/http1/admit.go
+++ b/internal/upstream/http1/admit.go
@@ -29,7 +29,8 @@
 	return time.Time{}
 }
 
-// admit asks the guard whether an attempt may be written, right before its first byte. If it may not, the result has an error.
+// admit asks the guard whether an attempt may be written, right before its first byte. If it may not, the result has
+// an error.
 func (b *Transport) admit(ctx context.Context, h *host, x *core.Exchange) (guard.Attempt, core.Result) {
 	a := b.facts(h, x, core.LookAge)
 	a.Over = ctx.Err() != nil || x.Wanted != nil && x.Wanted.Err() != nil
--- a/internal/upstream/http1/admit_test.go
+++ b/internal/upstream/http1/admit_test.go
@@ -22,8 +22,8 @@
 	return b, g
 }
 
-// A watch that was resumed too late brings a drain: an attempt that went to the server after the grace is counted. Where the watch was
-// resumed in time, or nothing went there, nothing is.
+// A watch that was resumed too late brings a drain: an attempt that went to the server after the grace is counted.
+// Where the watch was resumed in time, or nothing went there, nothing is.
 func TestLateDrainIsCounted(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
@@ -45,8 +45,8 @@
 	}
 }
 
-// A server that was closed while an attempt connected gets nothing, and the refusal is counted; so is one in slow start beyond what all
-// nodes may send it, however late its connections came up.
+// A server that was closed while an attempt connected gets nothing, and the refusal is counted; so is one in slow
+// start beyond what all nodes may send it, however late its connections came up.
 func TestRefusalsAreCounted(t *testing.T) {
 	t.Parallel()
 	b, g := guarded(t, time.Minute)
