--- a/internal/upstream/http1/admit.go
+++ b/internal/upstream/http1/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"os"
 	"slices"
 	"time"
@@ -57,11 +58,12 @@
 	}
 }
 
-// written has the guard judge an attempt that has been written whole, by what is known now.
+// anyAge has no look made at a client: one that finds it gone, or hidden, ends its request.
+const anyAge = time.Duration(math.MaxInt64)
+
+// written has the guard judge an attempt that has been written whole, by what is known now. It changes nothing.
 func (b *Transport) written(h *host, x *core.Exchange, admitted guard.Attempt) {
-	// A look was good for so long when the first byte was written.
-	age := guard.DepartedWithin + time.Since(admitted.Now)
-	a := b.facts(h, x, age)
+	a := b.facts(h, x, anyAge)
 	a.ColdMost, a.ColdSent = admitted.ColdMost, admitted.ColdSent
 	b.guard.Sent(a, admitted.Now)
 }
