--- a/review/play/main.go
+++ b/review/play/main.go
@@ -31,6 +31,7 @@
 	mu     sync.Mutex
 	record *os.File
 	nodes  []*node
+	over   bool // no process is started any more
 }
 
 var cases = map[string]func(*play) error{}
@@ -44,7 +45,7 @@
 }
 
 // run plays a case and returns the exit code.
-func run(play1 func(*play) error, folder string) int {
+func run(playCase func(*play) error, folder string) int {
 	p := &play{trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
 	var err error
 	if p.command, err = deployCommand("deploy/balancer.toml"); err == nil {
@@ -62,7 +63,7 @@
 	ended := make(chan error, 1)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() { ended <- play1(p) }()
+	go func() { ended <- playCase(p) }()
 	select {
 	case err = <-ended:
 	case <-time.After(longest):
@@ -72,6 +73,7 @@
 	}
 	p.mu.Lock()
 	nodes := p.nodes
+	p.over = true
 	p.mu.Unlock()
 	for _, n := range nodes {
 		n.kill()
--- a/review/play/node.go
+++ b/review/play/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -82,6 +83,12 @@
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.play.mu.Lock()
+	over := n.play.over
+	n.play.mu.Unlock()
+	if over {
+		return errors.New("the case is over")
+	}
 	n.starts++
 	temp := filepath.Join(n.play.dir, fmt.Sprintf("%s-tmp-%d", n.name, n.starts))
 	if err := os.Mkdir(temp, 0o700); err != nil {
@@ -148,7 +155,7 @@
 	}
 }
 
-// kill ends the process, if it runs, and the log of its last lines stays in the temporary folder.
+// kill ends the process, if it runs.
 func (n *node) kill() {
 	n.mu.Lock()
 	process, ended := n.process, n.ended
