Drains are kept while discovery is slow: late calls go on, answers count from their call

Cause: a call given up after 3 s, also one of which half an answer had come, counted as a sign that discovery could not be reached (call.go, callTiming.cause). Such a sign keeps the list usable for 6 s from that call's beginning (listage.go, fail), and each next call brought the next one; no answer could ever come, as each took longer than a call was waited for.

Change: the time limits of a call count from the last byte that came (progress.go); what counts as unreachable is no byte for 5.25 s, with a second call beside it from 3 s on. A watch (watch.go) keeps an overdue poll open and calls beside it, early enough for the answer to come before the list expires, by the time that discovery's latest answers took. An answer confirms what was so when its call began, not when it ended (ListUpdate.ConfirmedAge), also after the watch has ended and for a successor; where polls outlast the list's lifetime (fleets of over 16) an open watch counts as up to date as before. Polls of small fleets wait 2 s instead of 3, and are overdue after 0.75 s instead of 1, so that an answer of 3.6 s comes before the list expires.

TestSendBasis: after a broken watch of a small fleet the basis is the answer 3 s before, not the break: stricter. TestWatchWaitsByNodes: the wait of small fleets is 2 s; larger ones as before.

--- a/decide/api.go
+++ b/decide/api.go
@@ -194,7 +194,8 @@
 	ListCached
 	// ListFailed has no entries: a list request failed or the subscription broke.
 	ListFailed
-	// ListStalled has no entries: the subscription sends nothing any more, and membership begins it anew.
+	// ListStalled has no entries: the subscription sends nothing any more, or discovery answers slowly, and membership
+	// calls it anew. The list may be used for UsableFor.
 	ListStalled
 )
 
@@ -263,6 +264,10 @@
 		Version uint64
 		Entries []Server
 		Age     time.Duration // time since discovery last confirmed the previous list; 0: not known
+		// How long ago discovery had nothing newer than this update, at the most: a slow answer says what was so when
+		// its call began.
+		ConfirmedAge time.Duration
+		UsableFor    time.Duration // of ListStalled: how long the list may be used if no answer comes
 		// Of ListFailed:
 		Cause FailureCause
 		Took  time.Duration // how long the failed call took; 0: not known, or an open watch has failed
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1140,10 +1140,10 @@
 		m.placeByListAge()
 		return
 	case ListStalled:
-		m.listAge.watchStalls(m.now, m.listLifetime(), stalledWatchTime)
+		m.listAge.watchStalls(m.now, m.listLifetime(), update.UsableFor)
 		return
 	case ListChanges, ListFull:
-		m.listAge.confirm(m.now)
+		m.listAge.confirm(m.now - update.ConfirmedAge)
 	}
 	if update.Kind != ListCached && m.listRequested {
 		m.subscribed, m.listRequested, m.subscribedAt = true, false, m.now
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -62,8 +62,8 @@
 		N1: m.n1, N2: m.n2, Worth: m.meanWorth, Slots: m.slots, Size: m.subsetSize, Learned: m.learned,
 		Started: age(m.startAt), Arrived: age(m.arrivedAt), FirstAnswer: age(m.firstAnswerAt), Answerd: age(m.answeredAt)}
 	switch {
-	case m.subscribed && !m.listAge.watchStalled:
-		snapshot.ListAge = 1
+	case m.subscribed:
+		snapshot.ListAge = max(1, age(m.watchConfirms()))
 	case m.listAge.confirmedAt != never:
 		snapshot.ListAge = max(1, age(m.listAge.confirmedAt))
 	}
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -128,7 +128,7 @@
 // because it waits for that answer; a later one without changes confirms the list.
 func (l *Loop) handleWatchAnswer(list List) {
 	if list.Stalled {
-		l.handle(decide.ListUpdate{Kind: decide.ListStalled})
+		l.handle(decide.ListUpdate{Kind: decide.ListStalled, UsableFor: time.Until(list.UsableUntil)})
 		return
 	}
 	first := !l.watchAnswered
@@ -136,9 +136,9 @@
 		l.metrics.CallEnded(int(decide.CauseUnknown)) // counts as answered
 	}
 	if revision := l.view.Revision(); !first && revision != nil && list.Empty(*revision) {
-		l.confirmList(list.Source)
+		l.confirmList(list)
 		if l.settings.ListOnRequest {
-			l.handle(decide.ListUpdate{Kind: decide.ListChanges, Version: *revision})
+			l.handle(decide.ListUpdate{Kind: decide.ListChanges, Version: *revision, ConfirmedAge: confirmedAge(list)})
 		}
 		return
 	}
@@ -146,8 +146,9 @@
 }
 
 // confirmList records that discovery has no newer list, and publishes entries of an older list that are trusted by now.
-func (l *Loop) confirmList(source serverlist.Source) {
-	if update := l.view.Confirm(source, time.Now()); len(update.List.Entries) > 0 {
+func (l *Loop) confirmList(list List) {
+	if update := l.view.Confirm(list.Source, time.Now()); len(update.List.Entries) > 0 {
+		update.List.AsOf = list.AsOf
 		l.publishUpdate(update, decide.ListChanges)
 	}
 	l.guard.SetWatched(l.view.Watched())
@@ -174,7 +175,8 @@
 // no request is sent to a server that the list excludes.
 func (l *Loop) publishUpdate(update serverlist.Update, kind decide.ListKind) {
 	event := decide.ListUpdate{Kind: kind, Version: update.List.Version, Age: changeAge(update),
-		Entries: make([]decide.Server, 0, len(update.List.Entries))}
+		ConfirmedAge: confirmedAge(update.List),
+		Entries:      make([]decide.Server, 0, len(update.List.Entries))}
 	for _, entry := range update.List.Entries {
 		event.Entries = append(event.Entries, entry.Server)
 	}
@@ -185,6 +187,14 @@
 	l.logUnwatchedTo(update.Transitions)
 }
 
+// confirmedAge is how long ago discovery had nothing newer than a list, at the most; 0: when the list came.
+func confirmedAge(list List) time.Duration {
+	if list.AsOf.IsZero() {
+		return 0
+	}
+	return max(0, time.Since(list.AsOf))
+}
+
 // maxPushDelay is the greatest assumed age of a change that an open watch reports: discovery answers at once.
 const maxPushDelay = time.Millisecond
 
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -22,28 +21,34 @@
 const (
 	maxListSize = 4 << 20 // largest list, in bytes
 
-	// A watch is a sequence of calls (long polls), each of which waits at the registry for a change. The wait grows
-	// from minWatchWait by watchWaitPerNode for each node of the fleet, up to maxWatchWait: each call costs the one
-	// service that all nodes use. A connection that carries no more data is noticed when the wait is over.
-	minWatchWait     = 3 * time.Second
-	maxWatchWait     = 20 * time.Second
-	watchWaitPerNode = time.Second / 4
-	// Waits vary by jitterPerNode for each node, but at most by maxJitterShare of the wait: watches that become
-	// unresponsive together must not all be started again at the same moment.
+	// A watch is a sequence of calls (long polls), each of which waits at the registry for a change. Waits vary by
+	// jitterPerNode for each node, but at most by maxJitterShare of the wait: watches that become unresponsive together
+	// must not all be started again at the same moment.
 	jitterPerNode  = time.Second / 25
 	maxJitterShare = 0.4
 	// firstWatchWait is the wait of the first call of a watch: the load balancer needs its answer at once.
 	firstWatchWait = time.Millisecond
-	// callTimeout is how long such a call may take, beyond that wait: it may be queued at the registry.
+	// callTimeout is how long such a call may go, beyond that wait, without the first byte of its answer until another
+	// one is begun beside it: it may be queued at the registry.
 	callTimeout = 3 * time.Second
+	// silenceTimeout is how long such a call may go without that byte until the registry counts as unreachable. The call
+	// begun beside it has been open for longer than a queue lasts by then. While the registry counts as unreachable,
+	// callTimeout is enough for each further call.
+	silenceTimeout = callTimeout + maxQueueTime + renewalMargin
+	// readTimeout is how long the answer may pause once it has begun.
+	readTimeout = 5 * time.Second
+	// maxCallTime is how long such a call may last in all.
+	maxCallTime = 10 * time.Second
 	dialTimeout = time.Second
 	// watchSlack is how late, beyond its wait, the answer to a further call of a watch may be. Such a call is not
 	// queued.
-	watchSlack = time.Second
+	watchSlack = 750 * time.Millisecond
 	// overloadWait tells refusals apart: a call that is refused as it comes in gets its answer earlier. One that is
 	// refused after at least so long (and before callTimeout) had been accepted, and was queued or held open until
 	// then.
 	overloadWait    = 300 * time.Millisecond
+	maxAgentWait    = 3 * time.Second       // longest wait of a poll of an agent
+	maxAgentSlack   = time.Second           // longest time for which an agent may be late
 	agentPause      = 50 * time.Millisecond // between calls to an agent that answers at once without a change
 	localRetryPause = 20 * time.Millisecond // before a call is repeated that failed on this machine
 	maxStartTime    = 1 << 43               // in ms since the epoch; a later start time would overflow the module's clock
@@ -59,6 +64,7 @@
 	client        *http.Client
 	log           *slog.Logger
 	calls         atomic.Uint64 // number of calls so far, which is the id of the latest one in the log
+	unresponsive  atomic.Bool   // a call has had no answer, and none has come since
 }
 
 // callTiming holds the times of the calls of a watch.
@@ -66,10 +72,15 @@
 	wait         time.Duration // mean time that a call waits for a change
 	jitter       time.Duration // width of the range around wait from which waits are drawn
 	slack        time.Duration // how late the answer may be, after its wait
-	firstTimeout time.Duration // timeout of a call that does not wait for a change
-	retryPause   time.Duration // longest pause after a failed watch, before the next one
-	overloadWait time.Duration // the least time of a refusal that ends an accepted call
-	agent        bool          // the calls go to the node's own agent
+	firstTimeout time.Duration // how long a call that does not wait for a change may go without a byte of its answer
+	// silenceTimeout is how long it may go until the registry counts as unreachable.
+	silenceTimeout time.Duration
+	readTimeout    time.Duration // how long an answer may pause once it has begun
+	maxCallTime    time.Duration // how long such a call may last in all
+	listLifetime   time.Duration // how long the list may be used after it was confirmed; 0: without limit
+	retryPause     time.Duration // longest pause after a failed watch, before the next one
+	overloadWait   time.Duration // the least time of a refusal that ends an accepted call
+	agent          bool          // the calls go to the node's own agent
 }
 
 // source returns the source of the list in an answer; first is set for the first answer of a watch.
@@ -108,37 +119,37 @@
 		return min(max(settings.DrainGrace/divisor, lowest), highest)
 	}
 	nodes := time.Duration(settings.Nodes)
-	watchWait := min(max(minWatchWait, nodes*watchWaitPerNode), maxWatchWait)
+	watchWait := settings.PollWait()
 	return &Registry{addr: addr, log: log,
 		serviceTiming: callTiming{wait: watchWait,
 			jitter: min(nodes*jitterPerNode, time.Duration(maxJitterShare*float64(watchWait))), slack: watchSlack,
-			firstTimeout: callTimeout, overloadWait: overloadWait},
-		agentTiming: callTiming{wait: graceShare(2, 25*time.Millisecond, minWatchWait),
-			slack:        graceShare(4, 25*time.Millisecond, watchSlack),
-			firstTimeout: graceShare(2, 50*time.Millisecond, watchSlack),
-			retryPause:   graceShare(8, 10*time.Millisecond, watchSlack/5), agent: true},
+			firstTimeout: callTimeout, silenceTimeout: silenceTimeout, readTimeout: readTimeout,
+			maxCallTime: maxCallTime, listLifetime: settings.ListLifetime(), overloadWait: overloadWait},
+		agentTiming: callTiming{wait: graceShare(2, 25*time.Millisecond, maxAgentWait),
+			slack:        graceShare(4, 25*time.Millisecond, maxAgentSlack),
+			firstTimeout: graceShare(2, 50*time.Millisecond, maxAgentSlack),
+			readTimeout:  graceShare(2, 50*time.Millisecond, maxAgentSlack),
+			maxCallTime:  graceShare(2, 50*time.Millisecond, maxAgentSlack),
+			retryPause:   graceShare(8, 10*time.Millisecond, maxAgentSlack/5), agent: true},
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
+			MaxConnsPerHost: maxOpenCalls + 1, MaxIdleConnsPerHost: 2}}}
 }
 
 // Fetch requests the whole list once.
 func (r *Registry) Fetch(ctx context.Context) (core.List, error) {
-	return r.fetch(ctx, callWholeList, callTimeout)
+	limits := progressLimits{silence: silenceTimeout, pause: readTimeout, total: maxCallTime}
+	return r.fetch(ctx, callWholeList, &progress{limits: limits})
 }
 
 // fetch requests the whole list, with a call of the given kind. An answer with changes only is an error.
-func (r *Registry) fetch(ctx context.Context, kind callKind, timeout time.Duration) (core.List, error) {
-	list, err := r.call(ctx, kind, "", timeout)
+func (r *Registry) fetch(ctx context.Context, kind callKind, progress *progress) (core.List, error) {
+	list, err := r.call(ctx, kind, "", progress)
 	if err == nil && !list.Full {
 		return core.List{}, errors.New("list: the answer is not the whole list")
 	}
 	return list, err
 }
 
-// errOlderList is the error of an answer with a lower version than the watch has already delivered: a server that
-// drains by now may be ready in it.
-var errOlderList = errors.New("list: older than one that this watch has delivered")
-
 // Watch calls onList with each answer, including those without changes, until a call fails or ctx ends. It returns a
 // core.CallError. It starts with the changes since the given version, or with the whole list if since is nil.
 //
@@ -146,57 +157,9 @@
 // 200 ms later, and the node counts as notified of changes within that time. A watch that becomes unresponsive, or
 // whose answer is older than the one before or is cut off, is started again at once, because the node soon counts as
 // notified of what it has missed. Before the restart of an unresponsive watch, onList is called with a list that is
-// marked Stalled.
+// marked Stalled. The call that got no answer is kept open beside the new one: discovery may only be slow.
 func (r *Registry) Watch(ctx context.Context, since *uint64, onList func(core.List)) error {
-	return r.watch(ctx, since, r.serviceTiming, onList)
-}
-
-// watch implements Watch and Follow, with the timing of either. since, if not nil, is the version to start from.
-func (r *Registry) watch(ctx context.Context, since *uint64, timing callTiming, onList func(core.List)) error {
-	var version uint64
-	var answeredAt time.Time // when the previous answer was received
-	renewed := false         // restarted because of a bad answer, and only the first answer has been good since
-	for first := true; ; {
-		calledAt := time.Now()
-		list, err := r.nextCall(ctx, since, version, first, timing)
-		if !first && ctx.Err() == nil {
-			switch {
-			case timedOut(err):
-				r.log.Info("discovery: the watch is unresponsive; starting a new one", "since", version)
-				r.Close() // other idle connections may be unresponsive too
-				since, first = new(version), true
-				if !timing.agent {
-					onList(core.List{Stalled: true})
-				}
-				continue
-			case errors.Is(err, errOlderList) && !renewed:
-				r.log.Info("discovery: an answer is older than the one before; requesting the whole list",
-					"since", version, "revision", list.Version)
-				since, first, renewed = nil, true, true
-				continue
-			case errors.Is(err, errIncomplete) && !timedOut(err) && !renewed:
-				r.log.Info("discovery: an answer was cut off; requesting it again", "since", version, "err", err)
-				since, first, renewed = new(version), true, true
-				continue
-			}
-		}
-		if err != nil {
-			return timing.callError(err, first, time.Since(calledAt))
-		}
-		list.Source = timing.source(first)
-		if gap := calledAt.Sub(answeredAt); !first && gap > serverlist.MaxWatchGap {
-			r.log.Warn("discovery: the watch was resumed too late",
-				"after", gap, "since", version, "revision", list.Version)
-			list.StaleSince = answeredAt
-		}
-		answeredAt = time.Now()
-		onList(list)
-		if !first && list.Version == version && time.Since(calledAt) < agentPause {
-			sleep(ctx, agentPause) // an agent may answer every call at once; avoid a busy loop
-		}
-		renewed = renewed && first
-		version, first = list.Version, false
-	}
+	return newWatcher(r, r.serviceTiming, since, onList).run(ctx)
 }
 
 // sleep returns after d, or when ctx ends.
@@ -209,43 +172,11 @@
 	}
 }
 
-// nextCall makes one call of a watch: the first one, from version since or for the whole list if since is nil, or a
-// further one from version. A discovery service that was restarted may count versions from the start again. A list of
-// changes with a lower version than since then means nothing, and the whole list is requested. Within one watch
-// versions only rise.
-func (r *Registry) nextCall(ctx context.Context, since *uint64, version uint64, first bool,
-	timing callTiming) (core.List, error) {
-	if first && since == nil {
-		return r.fetch(ctx, timing.kind(callWholeList), timing.firstTimeout)
-	}
-	kind, wait, slack := callKeepWatch, timing.drawWait(), timing.slack
-	if first {
-		kind, version, wait, slack = callBeginWatch, *since, firstWatchWait, timing.firstTimeout
-	}
-	list, err := r.call(ctx, timing.kind(kind),
-		fmt.Sprintf("?since=%d&timeout_ms=%d", version, wait.Milliseconds()), wait+slack)
-	switch {
-	case err != nil || list.Version >= version:
-		return list, err
-	case !first:
-		return list, errOlderList
-	case !list.Full:
-		return r.fetch(ctx, timing.kind(callWholeList), timing.firstTimeout)
-	}
-	return list, nil
-}
-
-// timedOut reports whether a call ended because no answer arrived in time.
-func timedOut(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // Follow keeps a watch of the node's own agent until ctx ends: a watch that ends is started again after a short pause,
 // from the latest version.
 func (r *Registry) Follow(ctx context.Context, since *uint64, onList func(core.List)) {
 	for ctx.Err() == nil {
-		err := r.watch(ctx, since, r.agentTiming, func(list core.List) { since = &list.Version; onList(list) })
+		err := newWatcher(r, r.agentTiming, since, func(list core.List) { since = &list.Version; onList(list) }).run(ctx)
 		r.log.Debug("watch ended", "err", err)
 		select {
 		case <-ctx.Done():
--- a/internal/serverlist/list.go
+++ b/internal/serverlist/list.go
@@ -41,8 +41,12 @@
 	Entries []Entry
 
 	Source Source `json:"-"`
-	// Stalled marks a List that holds no list: the watch has become unresponsive and is restarted.
-	Stalled bool `json:"-"`
+	// AsOf is when discovery had nothing newer than this list, at the least; zero: when the list came.
+	AsOf time.Time `json:"-"`
+	// Stalled marks a List that holds no list: the watch has become unresponsive and is restarted, or discovery answers
+	// so slowly that the watch does not keep the list up to date. The list may be used until UsableUntil.
+	Stalled     bool      `json:"-"`
+	UsableUntil time.Time `json:"-"`
 	// StaleSince is set if the watch that brought this list was resumed too late: since that time the process may have
 	// counted as notified of the changes in this list.
 	StaleSince time.Time `json:"-"`
--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -203,3 +203,40 @@
 	s.Close()
 	<-requested
 }
+
+// A slow answer holds what was so when it was determined, and counts as received at its end. A process that gives up its
+// call has not received it.
+func TestSlowAnswers(t *testing.T) {
+	t.Parallel()
+	s := service(t)
+	c := caller(t, s.Listen)
+	s.SetFault(Fault{AnswerDelay: 100 * time.Millisecond, BodyPause: time.Second})
+	begin := func() *http.Response {
+		resp, err := http.Get("http://" + c.Addr + "/registry/instances?since=1&timeout_ms=1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	resp := begin()
+	s.Set(entry("draining"))
+	var l list
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil || l.Version != 1 {
+		t.Errorf("version %d, %v; want version 1, as the change came after the answer was determined", l.Version, err)
+	}
+	resp.Body.Close()
+	if n, ok := draining(c); ok {
+		t.Errorf("the process counts as notified of a change that its answer did not hold: %+v", n)
+	}
+	begin().Body.Close() // gives up in the middle
+	before := time.Now()
+	if _, l := requestList(t, c, "?since=1&timeout_ms=1"); l.Version != 2 {
+		t.Errorf("version %d, want 2", l.Version)
+	}
+	if n, ok := draining(c); !ok || n.By != ByAnswer || n.At.Sub(before) < time.Second {
+		t.Errorf("notified %+v, %v; want at the end of the answer", n, ok)
+	}
+	if answers := c.Answers(); len(answers) != 2 {
+		t.Errorf("%d answers are logged, want the two that were received", len(answers))
+	}
+}
--- a/internal/standin/discovery/service.go
+++ b/internal/standin/discovery/service.go
@@ -40,8 +40,13 @@
 	Cut            bool // the connection is reset in the middle of each answer
 	Stale          bool // calls that don't continue a watch get the list before the latest change
 	CallTimeFactor float64
+	AnswerDelay    time.Duration // answers are begun so long after they were determined
+	BodyPause      time.Duration // answers pause for so long in their middle
 }
 
+// slowAnswers reports whether answers arrive late with what was so when they were determined.
+func (f Fault) slowAnswers() bool { return f.AnswerDelay > 0 || f.BodyPause > 0 }
+
 // Service is the stand-in. Each process has a listener of its own, by which the service knows which process calls.
 type Service struct {
 	perCall time.Duration
