A shortage of this machine is no sign that discovery is unreachable

Callers would see: requests to draining servers for as long as a node is short of descriptors, ports or buffers and can't call discovery.

Cause: a call that could not be made in 3 s of retries (EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM, EAGAIN) failed as a dial, and each failed dial counted as an outage of discovery, which keeps the list usable for 6 s more (call.go, callTiming.cause).

Change: such a call has a cause of its own, CauseLocal, which says nothing of discovery. Where this machine's network is down (ENETUNREACH, ENETDOWN), discovery still counts as unreachable.

Measured: TestLocalShortageIsNoOutage fails before for all six shortages (cause 4, unreachable) and passes after.

--- a/decide/api.go
+++ b/decide/api.go
@@ -217,6 +217,8 @@
 	CauseOverloaded
 	// CauseUseless means that discovery has answered, but with nothing that can be used.
 	CauseUseless
+	// CauseLocal means that this machine had no means to make a call: it says nothing of discovery.
+	CauseLocal
 )
 
 // OutcomeCode is the outcome of an attempt or a probe.
--- a/decide/slowanswers_test.go
+++ b/decide/slowanswers_test.go
@@ -32,9 +32,11 @@
 		event ListUpdate // at answerAt
 		until Time       // when the list expires
 	}{
-		"discovery moves":     {5, ListUpdate{Kind: ListFailed, Cause: CauseMoved}, answerAt - age + notifyBound},
-		"the watch breaks":    {5, ListUpdate{Kind: ListFailed, Cause: CauseBroken}, answerAt - age + notifyBound},
-		"long polls":          {300, ListUpdate{Kind: ListFailed, Cause: CauseMoved}, answerAt + notifyBound},
+		"discovery moves":  {5, ListUpdate{Kind: ListFailed, Cause: CauseMoved}, answerAt - age + notifyBound},
+		"the watch breaks": {5, ListUpdate{Kind: ListFailed, Cause: CauseBroken}, answerAt - age + notifyBound},
+		"long polls":       {300, ListUpdate{Kind: ListFailed, Cause: CauseMoved}, answerAt + notifyBound},
+		"the machine is short of something": {5, ListUpdate{Kind: ListFailed, Cause: CauseLocal, Took: time.Second},
+			answerAt - age + notifyBound},
 		"discovery goes down": {300, ListUpdate{Kind: ListFailed, Cause: CauseWentDown}, answerAt + notifyBound},
 		"the watch is late":   {5, ListUpdate{Kind: ListStalled, UsableFor: 2 * time.Second}, answerAt + 2*time.Second},
 		"it is late already":  {5, ListUpdate{Kind: ListStalled, UsableFor: -time.Second}, answerAt - time.Second},
--- a/internal/member/registry/call.go
+++ b/internal/member/registry/call.go
@@ -95,6 +95,12 @@
 	return errors.As(err, &errno) && slices.Contains(localErrors, error(errno))
 }
 
+// isLocalShortage reports whether a call failed because this machine has run out of something. Where its network is
+// down, discovery can't be reached.
+func isLocalShortage(err error) bool {
+	return isLocalFailure(err) && !errors.Is(err, syscall.ENETUNREACH) && !errors.Is(err, syscall.ENETDOWN)
+}
+
 // errUnavailable is the answer of a discovery service that is down, or has no capacity for the call.
 var errUnavailable = errors.New("discovery answered 503")
 
@@ -110,7 +116,7 @@
 
 // cause classifies the error of a failed call or watch. An overloaded discovery service ends calls that it has queued
 // for too long with 503 or a reset, and refuses others at once, as it also does while it is down. Only a failure to
-// connect or a missing answer shows that it is unreachable.
+// connect or a missing answer shows that it is unreachable. A shortage of this machine shows nothing of it.
 func (t *callTiming) cause(err error, first bool, took time.Duration) decide.FailureCause {
 	unavailable := errors.Is(err, errUnavailable)
 	switch {
@@ -118,6 +124,8 @@
 		return decide.CauseWentDown
 	case !first:
 		return decide.CauseBroken
+	case isLocalShortage(err):
+		return decide.CauseLocal
 	case timedOut(err), dialFailed(err):
 		return decide.CauseUnreachable
 	case errors.Is(err, errIncomplete):
--- a/internal/member/registry/local_test.go
+++ b/internal/member/registry/local_test.go
@@ -66,3 +66,28 @@
 		})
 	}
 }
+
+// Guards against requests to draining servers while this machine is short of descriptors, ports or buffers. A call that
+// could not be made for that counted as a sign that discovery was unreachable, and the list went on being used.
+func TestLocalShortageIsNoOutage(t *testing.T) {
+	t.Parallel()
+	for errno, cause := range map[syscall.Errno]decide.FailureCause{syscall.EMFILE: decide.CauseLocal,
+		syscall.ENFILE: decide.CauseLocal, syscall.EADDRNOTAVAIL: decide.CauseLocal, syscall.ENOBUFS: decide.CauseLocal,
+		syscall.ENOMEM: decide.CauseLocal, syscall.EAGAIN: decide.CauseLocal, syscall.ENETUNREACH: decide.CauseUnreachable,
+		syscall.ENETDOWN: decide.CauseUnreachable, syscall.ECONNREFUSED: decide.CauseUnreachable,
+		syscall.ETIMEDOUT: decide.CauseUnreachable} {
+		t.Run(fmt.Sprint(errno), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := testkit.Settings()
+				settings.Nodes, settings.ListOnRequest = 5, true
+				registry := New(netip.MustParseAddrPort("127.0.0.1:9"), settings, testkit.DiscardLog)
+				node := &nodeClient{queuedDiscovery: &queuedDiscovery{version: 7, changed: make(chan struct{})}}
+				registry.client.Transport = &failingFirst{node, errno, 1 << 30}
+				err := registry.Watch(t.Context(), nil, func(core.List) {})
+				if call := (*core.CallError)(nil); !errors.As(err, &call) || call.Cause != cause {
+					t.Errorf("%v: cause %v, want %v", err, call.Cause, cause)
+				}
+			})
+		})
+	}
+}
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -110,7 +110,7 @@
 		"gw.transitions:3|c\ngw.list.revision:41|g\ngw.list.age_ms:1500|g\ngw.list.watched:1|g\n" +
 		"gw.list.usable:1|g\ngw.list.refused:1|c\n" +
 		"gw.calls.answered:1|c\ngw.calls.moved:0|c\ngw.calls.went_down:0|c\ngw.calls.broken:0|c\ngw.calls.unreachable:0|c\n" +
-		"gw.calls.crowded:2|c\ngw.calls.useless:0|c\n" +
+		"gw.calls.crowded:2|c\ngw.calls.useless:0|c\ngw.calls.local:0|c\n" +
 		"gw.unwatched.confirmed:0|c\ngw.unwatched.unreachable:0|c\ngw.unwatched.peer:1|c\ngw.unwatched.no_answer:0|c\n" +
 		"gw.guard.lost.refused:0|c\ngw.guard.lost.violated:1|c\ngw.guard.duplicate.refused:0|c\ngw.guard.duplicate.violated:0|c\n" +
 		"gw.guard.drain.refused:0|c\ngw.guard.drain.violated:0|c\ngw.guard.failback.refused:0|c\ngw.guard.failback.violated:0|c\n" +
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -139,10 +139,10 @@
 )
 
 // Names of the results of calls to discovery, in the order of decide.FailureCause; the first is for answered calls.
-var callNames = []string{"answered", "moved", "went_down", "broken", "unreachable", "crowded", "useless"}
+var callNames = []string{"answered", "moved", "went_down", "broken", "unreachable", "crowded", "useless", "local"}
 
 const (
-	callKinds    = 7
+	callKinds    = 8
 	outcomeKinds = 8
 	sourceKinds  = 7
 )
