Drains are kept in larger fleets while discovery is slow: long polls don't vouch for the list

Cause: where polls wait for longer than the list may be used (over 16 nodes), an open watch counted as up to date until its poll was overdue. A slow discovery has a change for long before its answer comes, so two answers in a row can hide one for 7.2 s (watch.go, expiry, contentTime).

Change: while discovery is known to be slow, the list expires 6 s after the latest answer's call began in fleets of all sizes, and renewals overlap as in small ones. Each answer is followed by a new poll. An answer that pauses, and one call in two waits of a poll, tell that discovery is slow also where polls only bring changes. The soak draws late answers (list-late) and plays a schedule of them in a test.

--- a/cmd/rig/soak_test.go
+++ b/cmd/rig/soak_test.go
@@ -22,3 +22,24 @@
 		t.Errorf("%v\n%s", err, text)
 	}
 }
+
+// Guards against requests to draining servers while discovery is slow, in a fleet whose polls wait for longer than the
+// list may be used. Servers drain every second, and each answer comes 3.6 s late: a watch that is open does not keep the
+// list up to date then, and calls that were given up counted as an outage.
+func TestDrainsOfAFleetWhileDiscoveryIsSlow(t *testing.T) {
+	rig := filepath.Join(t.TempDir(), "rig")
+	if text, err := exec.CommandContext(t.Context(), "go", "build", "-o", rig, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	schedule := filepath.Join("cmd", "rig", "testdata", "late-answers.schedule")
+	soak := exec.CommandContext(t.Context(), rig, "soak", "-seed", "3", "-quick", "-schedule", schedule)
+	soak.Dir = "../.."
+	text, err := soak.CombinedOutput()
+	if strings.Contains(string(text), "the run is void") { // the machine was too late to judge anybody
+		t.Logf("%s", text)
+		return
+	}
+	if err != nil || !strings.Contains(string(text), "kept drain") {
+		t.Errorf("%v\n%s", err, text)
+	}
+}
--- a/cmd/rig/soakfaults.go
+++ b/cmd/rig/soakfaults.go
@@ -95,6 +95,9 @@
 	return nil
 }
 
+// lateAnswerDelay is how long a late answer takes to begin, and again to end.
+const lateAnswerDelay = 1800 * time.Millisecond
+
 // listFault returns the fault of discovery that a kind stands for.
 func listFault(k soak.Kind) registry.Fault {
 	switch k {
@@ -112,6 +115,8 @@
 		return registry.Fault{Fragmented: true}
 	case soak.ListCut:
 		return registry.Fault{Cut: true}
+	case soak.ListLate:
+		return registry.Fault{AnswerDelay: lateAnswerDelay, BodyPause: lateAnswerDelay}
 	}
 	return registry.Fault{Stale: true}
 }
--- a/internal/member/registry/slow_test.go
+++ b/internal/member/registry/slow_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,9 +22,10 @@
 )
 
 const (
-	listLifetime     = 6 * time.Second         // from a change until a process counts as notified of it
-	slowWorldStep    = 25 * time.Millisecond   // of virtual time
-	reloadInterval   = 15 * time.Second        // between two reloads, in the mean
+	listLifetime     = 6 * time.Second       // from a change until a process counts as notified of it
+	slowWorldStep    = 25 * time.Millisecond // of virtual time
+	reloadInterval   = 15 * time.Second      // between two reloads, in the mean
+	steadyAfter      = 30 * time.Second
 	slowWorldLength  = 4 * time.Minute         // of virtual time
 	maxSlowAnswer    = 3600 * time.Millisecond // for which discovery takes to answer
 	leastUsableShare = 0.9                     // of the time
@@ -217,7 +219,7 @@
 
 // run plays random spells of slowness and changes. It returns the share of the time in which the list was usable, and
 // describes the first moment at which the list was usable although the process counted as notified of a newer one.
-func (w *slowWorld) run(t *testing.T, random *rand.Rand, reloads bool,
+func (w *slowWorld) run(t *testing.T, random *rand.Rand, reloads, steady bool,
 	spell func(*rand.Rand) (delay, pause time.Duration)) (share float64, expired string) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer w.watching.Wait()
@@ -253,6 +255,9 @@
 		if steps++; usable {
 			usableSteps++
 		}
+		if steady && time.Since(w.began) > steadyAfter { // the process knows by now that discovery is slow
+			bound = listLifetime
+		}
 		if next := int(version) + 1; usable && expired == "" && next < len(changedAt) &&
 			time.Since(changedAt[next]) > bound+slowWorldStep {
 			expired = fmt.Sprintf("version %d is used after %v, %v after the change to version %d", version,
@@ -278,6 +283,7 @@
 			return 0, time.Duration(random.Int63n(int64(maxSlowAnswer)))
 		},
 		"always slow": func(*rand.Rand) (delay, pause time.Duration) { return maxSlowAnswer / 2, maxSlowAnswer / 2 },
+		"always late": func(*rand.Rand) (delay, pause time.Duration) { return maxSlowAnswer, 0 },
 		"fast":        func(*rand.Rand) (delay, pause time.Duration) { return time.Millisecond, 0 },
 	}
 	for name, spell := range spells {
@@ -288,7 +294,8 @@
 					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						world := newSlowWorld(nodes, seed)
-						share, expired := world.run(t, rand.New(rand.NewSource(seed)), reloads, spell)
+						share, expired := world.run(t, rand.New(rand.NewSource(seed)), reloads,
+							strings.HasPrefix(name, "always"), spell)
 						if expired != "" {
 							t.Error(expired)
 						}
--- a/internal/member/registry/watch.go
+++ b/internal/member/registry/watch.go
@@ -23,6 +23,9 @@
 	// maxQueueTime is the longest time that a call waits for its turn at discovery. An answer that takes longer shows
 	// that discovery itself is slow.
 	maxQueueTime = 2 * time.Second
+	// maxUnmeasuredWaits, times the mean wait of a poll, is the longest time without an answer that tells how late
+	// discovery's answers are. A poll that is answered with a change does not.
+	maxUnmeasuredWaits = 2
 	// answerCheckInterval is how often the time of an answer that has begun is looked at.
 	answerCheckInterval = 100 * time.Millisecond
 )
@@ -54,6 +57,7 @@
 	renewed    bool          // restarted because of a bad answer, and only the first answer has been good since
 	stalled    bool          // the list counts as one that no watch keeps up to date
 	renewedAt  time.Time     // when the latest renewal began
+	measuredAt time.Time     // when an answer last told how late discovery's answers are
 }
 
 // openCall is one call of a watch.
@@ -230,12 +234,10 @@
 	if !w.answered || call.list.Version >= w.version || call.began.After(w.broughtBy) {
 		w.deliver(ctx, call)
 	} // otherwise a call that began later has brought a newer list
-	if poll := w.openPoll(); poll == nil {
-		w.beginPoll(ctx)
-	} else if !call.poll && w.overdue(poll, time.Now()) {
-		w.giveUp(poll)
-		w.beginPoll(ctx)
+	if poll := w.openPoll(); poll != nil {
+		w.giveUp(poll) // discovery ends a watch if no call follows its latest answer
 	}
+	w.beginPoll(ctx)
 	if w.isSlow() {
 		w.notifyStalled()
 	}
@@ -244,6 +246,7 @@
 
 // noteLatency records by how much an answer was late.
 func (w *watcher) noteLatency(call *openCall) {
+	measured := true
 	switch {
 	case !call.poll && call.took > maxQueueTime+renewalMargin:
 		w.latency = call.took
@@ -251,8 +254,12 @@
 		w.latency = 0
 	case w.isEmpty(call):
 		w.latency = max(0, call.took-call.wait)
-	default:
+	default: // when the change came is not known
 		w.latency = max(w.latency, call.progress.bodyTime())
+		measured = false
+	}
+	if measured {
+		w.measuredAt = time.Now()
 	}
 	for _, open := range w.calls {
 		open.progress.allowSilence(open.wait + w.silenceLimit())
@@ -280,20 +287,26 @@
 }
 
 // contentTime returns the time at which discovery had nothing newer than the list of an answered call, at the least.
-// Where a poll's wait is longer than the lifetime of the list, a change is taken to have come as fast as lately.
+// Where polls outlast the list, a change is taken to have come at once, or as late as discovery is by its latest answers.
 func (w *watcher) contentTime(call *openCall, now time.Time) time.Time {
 	switch {
 	case w.isEmpty(call):
 		return call.began.Add(call.wait)
 	case call.poll && w.pollsOutlastList():
-		return latest(call.began, now.Add(-w.latency))
+		return now
+	case call.poll && w.isLongPoll():
+		return latest(call.began, now.Add(-max(w.latency, call.progress.bodyTime()+maxQueueTime)))
 	}
 	return call.began
 }
 
 // pollsOutlastList reports whether polls wait so long that the list stays usable until after their wait, rather than for
-// its lifetime: the node counts as notified of what a poll missed two seconds after its wait.
-func (w *watcher) pollsOutlastList() bool {
+// its lifetime: the node counts as notified of what a poll missed two seconds after its wait. That does not hold while
+// discovery is slow: it has a change for long before its answer comes.
+func (w *watcher) pollsOutlastList() bool { return w.isLongPoll() && !w.isSlow() }
+
+// isLongPoll reports whether the wait of polls alone is that long.
+func (w *watcher) isLongPoll() bool {
 	return w.timing.wait+decide.MissedPollSlack > w.timing.listLifetime
 }
 
@@ -364,7 +377,7 @@
 		return
 	}
 	poll := w.openPoll()
-	if poll != nil && !w.stalled {
+	if poll != nil && !w.stalled && w.overdue(poll, now) {
 		w.registry.log.Info("discovery: the watch is late; calling beside it", "since", w.version,
 			"poll", now.Sub(poll.began).Round(time.Millisecond))
 	}
@@ -409,6 +422,12 @@
 		return due, false
 	}
 	due = poll.began.Add(poll.wait + w.timing.slack)
+	if pause := poll.progress.bodyTime(); pause > 0 && !w.timing.agent { // its answer has begun, and pauses
+		due = now.Add(w.timing.slack - pause)
+	}
+	if unmeasured := w.measuredAt.Add(maxUnmeasuredWaits * w.timing.wait); !w.timing.agent && unmeasured.Before(due) {
+		due = unmeasured
+	}
 	if beforeExpiry := w.expiry().Add(-renewalMargin); w.timing.listLifetime > 0 && beforeExpiry.Before(due) {
 		due = beforeExpiry
 	}
--- a/internal/rig/soak/schedule.go
+++ b/internal/rig/soak/schedule.go
@@ -49,12 +49,13 @@
 	ListInPieces   Kind = "list-pieces"   // answers come in pieces
 	ListCut        Kind = "list-cut"      // answers are reset in the middle
 	ListOlder      Kind = "list-older"    // calls that begin a watch are answered with an older list
+	ListLate       Kind = "list-late"     // answers come late and pause in their middle, with what was so before
 )
 
 var (
 	nodeKinds      = []Kind{Restart, Kill, Handover, Pause, Reload, ClockStep, Leave, Stall, HupTwice, HupTerm, TermTwice, TermAtStart, TermHandover, IdleClients}
 	serverKinds    = []Kind{Drain, Replace, Vanish, Hang, Partitioned, Resets, Late}
-	discoveryKinds = []Kind{ListDown, ListHangs, ListSlow, ListOverloaded, ListStalled, ListInPieces, ListCut, ListOlder}
+	discoveryKinds = []Kind{ListDown, ListHangs, ListSlow, ListOverloaded, ListStalled, ListInPieces, ListCut, ListOlder, ListLate}
 )
 
 // Kinds returns all kinds.
