--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -78,9 +78,11 @@
 	readTimeout    time.Duration // how long an answer may pause once it has begun
 	maxCallTime    time.Duration // how long such a call may last in all
 	listLifetime   time.Duration // how long the list may be used after it was confirmed; 0: without limit
-	retryPause     time.Duration // longest pause after a failed watch, before the next one
-	overloadWait   time.Duration // the least time of a refusal that ends an accepted call
-	agent          bool          // the calls go to the node's own agent
+	// renewalInterval is the shortest time between two calls that are begun because answers are late.
+	renewalInterval time.Duration
+	retryPause      time.Duration // longest pause after a failed watch, before the next one
+	overloadWait    time.Duration // the least time of a refusal that ends an accepted call
+	agent           bool          // the calls go to the node's own agent
 }
 
 // source returns the source of the list in an answer; first is set for the first answer of a watch.
@@ -124,7 +126,8 @@
 		serviceTiming: callTiming{wait: watchWait,
 			jitter: min(nodes*jitterPerNode, time.Duration(maxJitterShare*float64(watchWait))), slack: watchSlack,
 			firstTimeout: callTimeout, silenceTimeout: silenceTimeout, readTimeout: readTimeout,
-			maxCallTime: maxCallTime, listLifetime: settings.ListLifetime(), overloadWait: overloadWait},
+			maxCallTime: maxCallTime, listLifetime: settings.ListLifetime(), overloadWait: overloadWait,
+			renewalInterval: max(minRenewalInterval, nodes*renewalIntervalPerNode)},
 		agentTiming: callTiming{wait: graceShare(2, 25*time.Millisecond, maxAgentWait),
 			slack:        graceShare(4, 25*time.Millisecond, maxAgentSlack),
 			firstTimeout: graceShare(2, 50*time.Millisecond, maxAgentSlack),
