--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -167,6 +167,9 @@
 
 // sleep returns after d, or when ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/member/registry/renewal.go
+++ b/internal/member/registry/renewal.go
@@ -24,6 +24,8 @@
 	// maxUnmeasuredWaits, times the mean wait of a poll, is the longest time without an answer that tells how late
 	// discovery's answers are. A poll that is answered with a change does not.
 	maxUnmeasuredWaits = 2
+	// minCheckInterval is the shortest wait until a renewal that is due is looked at again.
+	minCheckInterval = time.Millisecond
 	// answerCheckInterval is how often the time of an answer that has begun is looked at.
 	answerCheckInterval = 100 * time.Millisecond
 )
@@ -187,7 +189,7 @@
 func (w *watcher) nextCheck(now time.Time) time.Duration {
 	check := time.Hour
 	if due, ok := w.renewalDue(now); ok {
-		check = max(0, due.Sub(now))
+		check = max(minCheckInterval, due.Sub(now))
 	}
 	if slices.ContainsFunc(w.calls, func(call *openCall) bool { return call.progress.hasBegun() }) {
 		check = min(check, answerCheckInterval)
--- a/internal/member/registry/watch.go
+++ b/internal/member/registry/watch.go
@@ -73,7 +73,7 @@
 	defer w.running.Wait()
 	defer cancel()
 	w.beginFirst(ctx)
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(w.nextCheck(time.Now()))
 	defer timer.Stop()
 	for {
 		select {
