Registry: one place that makes a call's time limits; the soak tests share their run

The limits of a call were put together in two places, the lock and the check for the first byte stood three times, and two tests built and ran the rig alike.

Change: watcher.begin makes the limits, progress.answerBegan is the one accessor, runSoak runs the rig. No change of behaviour; no check is touched.

--- a/cmd/rig/soak_test.go
+++ b/cmd/rig/soak_test.go
@@ -7,17 +7,23 @@
 	"testing"
 )
 
-// Guards against nodes that together overload a server in slow start. With more load than the servers can serve, a server
-// that returns cold gets up to 5 requests in a second more than all processes together may send. Each process keeps to its
-// own share of the bound, but estimates that share from answers, and the answers of overloaded servers mislead it.
-func TestSlowStartUnderOverload(t *testing.T) {
+// runSoak runs a short soak from the project's root and returns its output.
+func runSoak(t *testing.T, flags ...string) (output []byte, err error) {
+	t.Helper()
 	rig := filepath.Join(t.TempDir(), "rig") // a binary of its own, as the rig starts some of its nodes through itself
 	if text, err := exec.CommandContext(t.Context(), "go", "build", "-o", rig, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, text)
 	}
-	soak := exec.CommandContext(t.Context(), rig, "soak", "-seed", "6", "-quick")
+	soak := exec.CommandContext(t.Context(), rig, append([]string{"soak", "-quick"}, flags...)...)
 	soak.Dir = "../.."
-	text, err := soak.CombinedOutput()
+	return soak.CombinedOutput()
+}
+
+// Guards against nodes that together overload a server in slow start. With more load than the servers can serve, a server
+// that returns cold gets up to 5 requests in a second more than all processes together may send. Each process keeps to its
+// own share of the bound, but estimates that share from answers, and the answers of overloaded servers mislead it.
+func TestSlowStartUnderOverload(t *testing.T) {
+	text, err := runSoak(t, "-seed", "6")
 	if err != nil || !strings.Contains(string(text), "kept failback") {
 		t.Errorf("%v\n%s", err, text)
 	}
@@ -27,14 +33,7 @@
 // list may be used. Servers drain every second, and each answer comes 3.6 s late: a watch that is open does not keep the
 // list up to date then, and calls that were given up counted as an outage.
 func TestDrainsOfAFleetWhileDiscoveryIsSlow(t *testing.T) {
-	rig := filepath.Join(t.TempDir(), "rig")
-	if text, err := exec.CommandContext(t.Context(), "go", "build", "-o", rig, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, text)
-	}
-	schedule := filepath.Join("cmd", "rig", "testdata", "late-answers.schedule")
-	soak := exec.CommandContext(t.Context(), rig, "soak", "-seed", "3", "-quick", "-schedule", schedule)
-	soak.Dir = "../.."
-	text, err := soak.CombinedOutput()
+	text, err := runSoak(t, "-seed", "3", "-schedule", filepath.Join("cmd", "rig", "testdata", "late-answers.schedule"))
 	if strings.Contains(string(text), "the run is void") { // the machine was too late to judge anybody
 		t.Logf("%s", text)
 		return
--- a/internal/member/registry/progress.go
+++ b/internal/member/registry/progress.go
@@ -112,32 +112,26 @@
 	}
 }
 
-// hasBegun reports whether a part of the answer has come.
-func (p *progress) hasBegun() bool {
+// answerBegan returns when the first byte of the answer came; zero: none has.
+func (p *progress) answerBegan() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.firstByte.IsZero()
+	return p.firstByte
 }
 
+// hasBegun reports whether a part of the answer has come.
+func (p *progress) hasBegun() bool { return !p.answerBegan().IsZero() }
+
 // firstByteAfter returns how long after a time the answer began; 0: it has not.
 func (p *progress) firstByteAfter(began time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.firstByte.IsZero() {
+	if !p.hasBegun() {
 		return 0
 	}
-	return p.firstByte.Sub(began)
+	return p.answerBegan().Sub(began)
 }
 
 // bodyTime returns how long ago the answer began; 0: it has not.
-func (p *progress) bodyTime() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.firstByte.IsZero() {
-		return 0
-	}
-	return time.Since(p.firstByte)
-}
+func (p *progress) bodyTime() time.Duration { return -p.firstByteAfter(time.Now()) }
 
 // explain returns the reason for which the call was ended here, or err if it was not.
 func (p *progress) explain(err error) error {
--- a/internal/member/registry/watch.go
+++ b/internal/member/registry/watch.go
@@ -136,8 +136,7 @@
 // beginFirst begins a call that is to be answered at once: the first one of a watch, or a renewal.
 func (w *watcher) beginFirst(ctx context.Context) {
 	w.renewedAt = time.Now()
-	w.begin(ctx, &openCall{since: w.since, progress: &progress{limits: progressLimits{
-		silence: w.silenceLimit(), pause: w.timing.readTimeout, total: w.timing.maxCallTime}}})
+	w.begin(ctx, &openCall{since: w.since})
 }
 
 // beginPoll begins a call that waits for a change. The poll before it may still be open. Its answer may be on its way,
@@ -150,9 +149,7 @@
 			}
 		}
 	}
-	wait := w.timing.drawWait()
-	call := &openCall{poll: true, since: new(w.version), wait: wait, progress: &progress{limits: progressLimits{
-		silence: wait + w.silenceLimit(), pause: w.timing.readTimeout, total: wait + w.timing.maxCallTime}}}
+	call := &openCall{poll: true, since: new(w.version), wait: w.timing.drawWait()}
 	if gap := time.Since(w.answeredAt); gap > serverlist.MaxWatchGap {
 		w.registry.log.Warn("discovery: the watch was resumed too late", "after", gap, "since", w.version)
 		call.late = w.answeredAt
@@ -164,13 +161,8 @@
 func (w *watcher) begin(ctx context.Context, call *openCall) {
 	ctx, call.cancel = context.WithCancel(ctx)
 	call.began = time.Now()
-	call.progress.onFirstByte = func() {
-		w.registry.unresponsive.Store(false)
-		select {
-		case w.begun <- struct{}{}:
-		default:
-		}
-	}
+	call.progress = &progress{onFirstByte: w.noteBegun, limits: progressLimits{silence: call.wait + w.silenceLimit(),
+		pause: w.timing.readTimeout, total: call.wait + w.timing.maxCallTime}}
 	w.calls = append(w.calls, call)
 	timing := w.timing
 	w.running.Go(func() {
@@ -184,6 +176,15 @@
 	})
 }
 
+// noteBegun records that the answer of a call has begun.
+func (w *watcher) noteBegun() {
+	w.registry.unresponsive.Store(false)
+	select {
+	case w.begun <- struct{}{}:
+	default:
+	}
+}
+
 // runCall makes a call of a watch. A discovery service that was restarted may count versions from the start again. A
 // list of changes with a lower version than asked for then means nothing, and the whole list is requested. Within one
 // watch versions only rise.
