--- a/review/play2/stale.go
+++ b/review/play2/stale.go
@@ -16,7 +16,7 @@
 // playStale: a voter is cut off from the others while a release is turned back, and then a supervisor is started again.
 func playStale(ctx context.Context, w *world) error {
 	classes := []standin.Class{{Name: "cut-order", Method: "POST", Share: 1, Worth: 1, Aim: 2 * time.Second, Patience: 6 * time.Second, BodyBytes: 100}}
-	_, registry, err := w.servers(3, map[string]standin.Work{"cut-order": {Time: 200 * time.Millisecond}})
+	_, registry, err := w.servers(3, map[string]standin.Work{"cut-order": {Time: 1500 * time.Millisecond}})
 	if err != nil {
 		return err
 	}
@@ -73,6 +73,11 @@
 	if err := await(ctx, "the supervisor's node is known", 20*time.Second, status(before+"  ready")); err != nil {
 		return err
 	}
+	loading, stop := context.WithCancel(ctx)
+	requests := w.stream(loading, "client", m.listen, "POST", "cut-order", 6*time.Second, 250*time.Millisecond)
+	defer requests()
+	defer stop()
+	sleep(ctx, 2*time.Second)
 	if text, code := w.operate(ctx, members[1], "release", "start", plan); code != 0 {
 		return fmt.Errorf("the release was not started: %s", text)
 	}
@@ -105,6 +110,7 @@
 	if sup, err = w.startSupervisor(m, file); err != nil {
 		return err
 	}
+	stop()
 	worst := ""
 	for range 20 {
 		sleep(ctx, time.Second)
