--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption. The build of the deploy file and review/build-2.sh come first.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../bin/review-2 ] && [ -x ../../bin/starlingvalve ] || exit 2
-exec ../../bin/review-2 twice . ../..
+exec ../../bin/review-2 agent . ../..
