--- a/review/play2/client.go
+++ b/review/play2/client.go
@@ -60,6 +60,7 @@
 // lost reports whether a request that the node's machine had taken got no final answer in time.
 func (s *sent) lost() bool { return !s.connFailed && s.status == 0 }
 
+// String tells what became of the request, for the record.
 func (s *sent) String() string {
 	what := fmt.Sprintf("status %d", s.status)
 	switch {
--- a/review/play2/world.go
+++ b/review/play2/world.go
@@ -79,6 +79,7 @@
 	return s.b.Write(p)
 }
 
+// String returns what has been written.
 func (s *syncBuffer) String() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
