A pushed list is used only once its agent has answered, and while it vouches

Cause: decide/listage.go had no lifetime for pushed lists: ListLifetime is 0 there, so usableUntil was "for ever" and sendBasis "watch", whatever was known. Seen besides: registry.Follow made a debug line of each failed call, so the module could not know that the agent was silent; SetMembership told the module nothing where lists are pushed. Ruled out: internal/core/loop.go (it asks the module) and serverlist.View (its Watched is right from the start, nobody asked it).

Nothing is sent before the agent's first answer, however long that takes. A silent agent learns nothing, so a process that it has answered goes on; an answer that can't be used, a broken watch or a call that this machine can't make leave the list the drain grace, and another agent (SIGHUP) 4 s. Follow reports each failure with its cause; a successor does not use its predecessor's pushed list; a peer's word is no leave to send. Found on the way: a silent agent counted half of the time as an answer without end (both limits are half the grace), and a shortage of descriptors here as the agent's silence.

--- a/decide/api.go
+++ b/decide/api.go
@@ -1,10 +1,9 @@
-// Package decide makes the decisions of a load-balancing proxy node: which
-// server gets a request, when another attempt is made, when a request is
-// refused. It does no I/O, reads no clock and starts no goroutine: the caller
-// feeds it events and carries out the actions it returns.
+// Package decide makes the decisions of a load-balancing proxy node: which server gets a request, when
+// another attempt is made, when a request is refused. It does no I/O, reads no clock and starts no
+// goroutine: the caller feeds it events and carries out the actions it returns.
 //
-// This file is the interface: settings, events and actions. The decisions are in decide.go and, by subject, in the
-// other files.
+// This file is the interface: settings, events and actions. The decisions are in decide.go and, by subject,
+// in the other files.
 package decide
 
 import "time"
@@ -30,7 +29,8 @@
 	Safe
 )
 
-// Scope is the group of servers that share their memory of keys, and so drop repeats of one another's requests.
+// Scope is the group of servers that share their memory of keys, and so drop repeats of one another's
+// requests.
 type Scope int
 
 const (
@@ -106,8 +106,8 @@
 	Prices         Prices
 
 	AnswerSlack time.Duration // a final answer so long after the deadline still counts
-	// Once discovery has a change and can be reached, the node counts as notified of the change after this time at
-	// the latest, and from then on must follow it. 0: there is no such bound.
+	// Once discovery has a change and can be reached, the node counts as notified of the change after this
+	// time at the latest, and from then on must follow it. 0: there is no such bound.
 	NotifiedWithin         time.Duration
 	MaxListRequestInterval time.Duration // without a subscription, longest time from one list request to the next
 	DrainGrace             time.Duration // sends to a draining server must have stopped after this time
@@ -126,8 +126,8 @@
 	return longest
 }
 
-// Goal holds the weights of the parts that make up the result: of all requests, of the worst time window, of the worst
-// class and of the worst tenant.
+// Goal holds the weights of the parts that make up the result: of all requests, of the worst time window,
+// of the worst class and of the worst tenant.
 type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant float64 }
 
 // Prices are the points that one unit of each named cost takes off the result.
@@ -194,8 +194,8 @@
 	ListCached
 	// ListFailed has no entries: a list request failed or the subscription broke.
 	ListFailed
-	// ListStalled has no entries: the subscription sends nothing any more, or discovery answers slowly, and membership
-	// calls it anew. The list may be used for UsableFor.
+	// ListStalled has no entries: the subscription sends nothing any more, or discovery answers slowly,
+	// and membership calls it anew. The list may be used for UsableFor.
 	ListStalled
 )
 
@@ -207,7 +207,8 @@
 	CauseUnknown FailureCause = iota
 	// CauseMoved means that the list comes from another source from now on.
 	CauseMoved
-	// CauseWentDown means that discovery has ended an open watch with a refusal, as it does when it shuts down.
+	// CauseWentDown means that discovery has ended an open watch with a refusal, as it does when it shuts
+	// down.
 	CauseWentDown
 	// CauseBroken means that an open watch has broken.
 	CauseBroken
@@ -266,8 +267,9 @@
 		Version uint64
 		Entries []Server
 		Age     time.Duration // time since discovery last confirmed the previous list; 0: not known
-		// How long ago discovery had nothing newer than this update, at the most: a slow answer says what was so when
-		// its call began.
+		// How long ago discovery had nothing newer than this update, at the most: a slow answer says what
+		// was so when its call began. Of a ListFailed where lists are pushed: the same of the list in
+		// force; 0: not known.
 		ConfirmedAge time.Duration
 		UsableFor    time.Duration // of ListStalled: how long the list may be used if no answer comes
 		// Of ListFailed:
@@ -338,8 +340,8 @@
 type Reason int
 
 const (
-	// ByServers means that no server may take the request: all are overloaded, blocking, ejected or cold, or have
-	// failed it.
+	// ByServers means that no server may take the request: all are overloaded, blocking, ejected or cold,
+	// or have failed it.
 	ByServers Reason = iota
 	// ByNode means that the node itself lacks CPU, or is shutting down.
 	ByNode
@@ -354,12 +356,12 @@
 		ID      RequestID
 		Server  ServerID
 		Timeout time.Duration // 0: until the client stops waiting
-		// The server may be used for this time, by the list or another node's report. Nothing may be written to it
-		// after that. 0: there is no limit.
+		// The server may be used for this time, by the list or another node's report. Nothing may be
+		// written to it after that. 0: there is no limit.
 		UsableFor time.Duration
 		Basis     SendBasis // what allows the use of the server
-		// The number of requests that all nodes together may send the server within OverloadTime while it is in slow
-		// start; 0: it is not in slow start.
+		// The number of requests that all nodes together may send the server within OverloadTime while it
+		// is in slow start; 0: it is not in slow start.
 		SlowStartLimit int
 	}
 	// Refuse is a final answer which promises that a new try does no harm.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1136,7 +1136,11 @@
 func (m *Module) applyList(update ListUpdate) {
 	switch update.Kind {
 	case ListFailed:
-		m.listRequestFailed(update)
+		if m.settings.ListOnRequest {
+			m.listRequestFailed(update)
+		} else {
+			m.agentFailed(update)
+		}
 		m.placeByListAge()
 		return
 	case ListStalled:
@@ -1149,6 +1153,9 @@
 		m.subscribed, m.listRequested, m.subscribedAt = true, false, m.now
 		m.resetBackoffs()
 	}
+	if update.Kind != ListCached && !m.settings.ListOnRequest {
+		m.agentAnswered()
+	}
 	m.placeByListAge()
 	if update.Kind != ListChanges {
 		m.listCount++
--- a/decide/readiness.go
+++ b/decide/readiness.go
@@ -9,7 +9,8 @@
 // servers of its subset are ready, and how old that knowledge is. A server that another node confirms may
 // be used for as long as the list of that node may. A readiness report also shows that discovery answers
 // and is only overloaded, where calls that fail after a wait look like an outage. A report never adds a
-// server, and a server that this node's own list has as draining is not used.
+// server, and a server that this node's own list has as draining is not used. Where lists are pushed, there
+// are no such queries: what one node's agent has says nothing of what another one's has.
 
 const (
 	queryMark       = 'q' // first byte of a readiness query
--- a/decide/sendbasis.go
+++ b/decide/sendbasis.go
@@ -40,7 +40,7 @@
 func (m *Module) sendBasis(s *serverRecord) SendBasis {
 	age := &m.listAge
 	switch {
-	case m.listLifetime() == 0, m.subscribed && !age.watchStalled:
+	case !m.settings.listMayExpire(), m.subscribed && !age.watchStalled:
 		return SendBasis{Kind: BasisWatch}
 	case !m.ListUsable():
 		return SendBasis{Kind: BasisPeer, Age: m.now - s.peerConfirmedAt, Peer: s.peerConfirmedBy}
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -1,7 +1,8 @@
 package decide
 
-// What a module has learned, as plain data for the process that takes over its node. A module that starts with nothing
-// takes every server for normal and the fleet for slow, and for seconds refuses requests that the servers could serve.
+// What a module has learned, as plain data for the process that takes over its node. A module that starts
+// with nothing takes every server for normal and the fleet for slow, and for seconds refuses requests that
+// the servers could serve.
 
 import (
 	"fmt"
@@ -12,8 +13,8 @@
 // SnapshotVersion is the version of the format below. Restore takes no other.
 const SnapshotVersion = 1
 
-// Snapshot is what a module has learned. It is written as JSON under the names of its fields, so these stay. Points in
-// time are given as ages: how long before the snapshot they were, negative for later ones.
+// Snapshot is what a module has learned. It is written as JSON under the names of its fields, so these
+// stay. Points in time are given as ages: how long before the snapshot they were, negative for later ones.
 type Snapshot struct {
 	Version int
 	// Number of answers; Module.mean, recentMean and leastMean in seconds; peakRate in answers per second.
@@ -123,9 +124,9 @@
 	return nil
 }
 
-// Restore takes over what another process of this node has learned. It must be called once, after the module's first
-// list and before any request. If any part of the snapshot is invalid, it returns an error and changes nothing. Servers
-// that are not in the list, or have restarted, are skipped.
+// Restore takes over what another process of this node has learned. It must be called once, after the
+// module's first list and before any request. If any part of the snapshot is invalid, it returns an error
+// and changes nothing. Servers that are not in the list, or have restarted, are skipped.
 func (m *Module) Restore(now Time, snapshot Snapshot) error {
 	if err := snapshot.check(); err != nil {
 		return err
@@ -166,9 +167,10 @@
 			server.tokens, server.tokensAt = 0, now // the other process may have used the tokens
 		}
 	}
-	// What the other process learns from now on does not reach this one, which counts as notified of it soon. So the
-	// list may be used for handedListTime at most.
-	if snapshot.ListAge > 0 {
+	// What the other process learns from now on does not reach this one, which counts as notified of it
+	// soon. So the list may be used for handedListTime at most. Where lists are pushed, it counts as
+	// notified at once, and its own agent has to answer first.
+	if snapshot.ListAge > 0 && m.settings.ListOnRequest {
 		m.listAge.confirm(now - max(snapshot.ListAge, m.listLifetime()-handedListTime))
 	}
 	m.nextListRequestAt = min(m.nextListRequestAt, now+time.Duration(m.random()*float64(successorSpread)))
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -35,9 +36,22 @@
 // followPushedLists follows the server list until the loop ends or its source is replaced. It is used in place of
 // subscribe where lists are pushed to the node, so that the module requests none.
 func (l *Loop) followPushedLists() {
-	ctx, _ := l.newWatchContext()
+	ctx, ifCurrent := l.newWatchContext()
 	membership, since := l.membership, l.view.Revision()
-	l.work.Go(func() { membership.Follow(ctx, since, func(list List) { l.deliverWatchedList(ctx, list) }) })
+	l.work.Go(func() {
+		membership.Follow(ctx, since, func(list List) { l.deliverWatchedList(ctx, list) },
+			func(err error) { ifCurrent(func() { l.handleAgentFailure(err) }) })
+	})
+}
+
+// handleAgentFailure handles a failed call to the node's agent. The watch of the agent is begun anew by membership, and
+// its next answer counts as a first one.
+func (l *Loop) handleAgentFailure(err error) {
+	l.watchAnswered = false
+	l.view.Unwatch(time.Now())
+	l.guard.SetWatched(l.view.Watched())
+	l.handleListResult(List{}, err)
+	l.agentHeard.Do(func() { close(l.firstAgentResult) })
 }
 
 // newWatchContext returns the context of a new watch, and a function that runs its argument under the loop's lock
@@ -61,6 +75,7 @@
 	l.post(func() {
 		if ctx.Err() == nil {
 			l.handleWatchAnswer(list)
+			l.agentHeard.Do(func() { close(l.firstAgentResult) })
 			return
 		}
 		if update := l.view.Withdraw(list, time.Now()); len(update.Transitions) > 0 {
@@ -89,9 +104,8 @@
 		l.membership.Close()
 		l.membership = replacement
 		l.view.SourceChanged(time.Now())
-		if l.settings.ListOnRequest {
-			l.handle(decide.ListUpdate{Kind: decide.ListFailed, Cause: decide.CauseMoved})
-		} else {
+		l.handle(decide.ListUpdate{Kind: decide.ListFailed, Cause: decide.CauseMoved})
+		if !l.settings.ListOnRequest {
 			l.followPushedLists()
 		}
 	})
@@ -112,11 +126,14 @@
 // handleListResult handles the result of a list request of the module: a list, or the error of a failed call.
 func (l *Loop) handleListResult(list List, err error) {
 	if err != nil {
-		l.log.Info("discovery", "err", err)
 		failed := decide.ListUpdate{Kind: decide.ListFailed}
 		if call := (*CallError)(nil); errors.As(err, &call) {
 			failed.Took, failed.Cause = call.Took, call.Cause
+			if !call.ConfirmedAt.IsZero() {
+				failed.ConfirmedAge = max(1, time.Since(call.ConfirmedAt))
+			}
 		}
+		l.logListFailure(failed.Cause, err)
 		l.metrics.CallEnded(int(failed.Cause))
 		l.handle(failed)
 		return
@@ -124,6 +141,17 @@
 	l.handleList(list)
 }
 
+// logListFailure logs a failed call. A silent agent is called several times a second: of equal failures in a row only the
+// first is logged at the usual level.
+func (l *Loop) logListFailure(cause decide.FailureCause, err error) {
+	level := slog.LevelInfo
+	if !l.settings.ListOnRequest && l.listFailed && cause == l.lastListFailure {
+		level = slog.LevelDebug
+	}
+	l.listFailed, l.lastListFailure = true, cause
+	l.log.Log(l.ctx, level, "discovery", "err", err)
+}
+
 // handleWatchAnswer handles one answer of the open watch. The module gets the first answer even if it changes nothing,
 // because it waits for that answer; a later one without changes confirms the list.
 func (l *Loop) handleWatchAnswer(list List) {
@@ -132,6 +160,7 @@
 		return
 	}
 	first := !l.watchAnswered
+	l.listFailed = false
 	if l.watchAnswered = true; first {
 		l.metrics.CallEnded(int(decide.CauseUnknown)) // counts as answered
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -50,23 +50,30 @@
 	initialised chan struct{}   // closed once the initial list has been applied
 	work        sync.WaitGroup  // the goroutines that the loop starts
 	canServe    atomic.Bool     // a server is ready, and the list has been usable at least once
-	startedAt   time.Time
-	clockBase   decide.Time // the module's time at startedAt
-
-	mu            sync.Mutex  // guards all fields below, and the module
-	ended         bool        // the loop handles nothing more
-	ending        bool        // open requests have been answered, and no attempt is started any more
-	endTimer      *time.Timer // answers all open requests when it fires; nil: not set
-	wakeTimer     *time.Timer // fires when the first of timers is due
-	requests      map[decide.RequestID]*Request
-	timers        timerHeap
-	queue         []decide.Event // for the module, while it handles another event
-	handling      bool           // handle is running further up the stack
-	view          *serverlist.View
-	endWatch      context.CancelFunc // nil: no watch is open
-	watchAnswered bool               // the watch has had its first answer
-	listWasUsable bool               // the list has been usable at least once
-	unwatched     unwatchedSends
+	hasServers  atomic.Bool     // a server is ready
+	// firstAgentResult is closed once the node's agent has answered or a call to it has failed, and at the start where
+	// lists are not pushed. agentHeard closes it.
+	firstAgentResult chan struct{}
+	agentHeard       sync.Once
+	startedAt        time.Time
+	clockBase        decide.Time // the module's time at startedAt
+
+	mu              sync.Mutex  // guards all fields below, and the module
+	ended           bool        // the loop handles nothing more
+	ending          bool        // open requests have been answered, and no attempt is started any more
+	endTimer        *time.Timer // answers all open requests when it fires; nil: not set
+	wakeTimer       *time.Timer // fires when the first of timers is due
+	requests        map[decide.RequestID]*Request
+	timers          timerHeap
+	queue           []decide.Event // for the module, while it handles another event
+	handling        bool           // handle is running further up the stack
+	view            *serverlist.View
+	endWatch        context.CancelFunc // nil: no watch is open
+	watchAnswered   bool               // the watch has had its first answer
+	listFailed      bool               // the latest call to discovery or the watch has failed, by lastListFailure
+	lastListFailure decide.FailureCause
+	listWasUsable   bool // the list has been usable at least once
+	unwatched       unwatchedSends
 }
 
 // Options are the settings and ports of a Loop. Settings, Transport, Membership and Log are required. Without a
@@ -102,7 +109,7 @@
 	return &Loop{classes: classes, module: decide.New(options.Settings, options.Seed), settings: options.Settings,
 		transport: options.Transport, membership: options.Membership,
 		messenger: options.Messenger, remote: options.Remote, log: options.Log, lag: lag, ctx: ctx,
-		initialised: make(chan struct{}), wakeTimer: time.NewTimer(time.Hour), startedAt: now,
+		initialised: make(chan struct{}), firstAgentResult: make(chan struct{}), wakeTimer: time.NewTimer(time.Hour), startedAt: now,
 		clockBase: time.Duration(now.Add(faultpoint.WallStep).UnixNano()), requests: map[decide.RequestID]*Request{},
 		metrics: options.Metrics, learned: options.Learned, guard: options.Guard, view: serverlist.NewView(),
 		recentIDs: options.RecentIDs,
@@ -133,6 +140,16 @@
 // CanServe reports whether some server is ready, and the list has been usable at least once since the start.
 func (l *Loop) CanServe() bool { return l.canServe.Load() }
 
+// Ready reports whether the node is to get requests: it can serve them, or it has waited for its agent for
+// decide.StartWait. In that case it refuses them until the agent answers. Where lists are asked for, the module itself
+// decides how long a start may last.
+func (l *Loop) Ready() bool {
+	if l.CanServe() {
+		return true
+	}
+	return !l.settings.ListOnRequest && l.hasServers.Load() && time.Since(l.startedAt) >= decide.StartWait
+}
+
 // now is the module's clock: the wall clock at the start plus the monotonic time since. So it never jumps, and the
 // start times of backends, which are given in wall-clock time, can be compared with it.
 func (l *Loop) now() decide.Time { return l.clockBase + time.Since(l.startedAt) }
@@ -178,6 +195,9 @@
 	if !l.settings.ListOnRequest {
 		l.followPushedLists()
 	}
+	if l.module.ListUsable() || l.settings.ListOnRequest {
+		l.agentHeard.Do(func() { close(l.firstAgentResult) })
+	}
 	l.mu.Unlock()
 	close(l.initialised)
 	for {
@@ -245,6 +265,7 @@
 		l.log.Info("the list is usable", "after", time.Since(l.startedAt).Round(time.Millisecond))
 	}
 	_, ready := l.view.Size()
+	l.hasServers.Store(ready > 0)
 	l.canServe.Store(ready > 0 && l.listWasUsable)
 }
 
--- a/internal/core/ports.go
+++ b/internal/core/ports.go
@@ -57,8 +57,9 @@
 	// changes. It returns when a call fails or ctx ends; the error is a CallError. A list that is Stalled says that
 	// the watch has become unresponsive and is restarted.
 	Watch(ctx context.Context, since *uint64, news func(List)) error
-	// Follow is a Watch that is restarted whenever it fails, until ctx ends.
-	Follow(ctx context.Context, since *uint64, news func(List))
+	// Follow is a Watch of the node's own agent that is restarted whenever it fails, until ctx ends. Each failure is passed
+	// to failed: a CallError.
+	Follow(ctx context.Context, since *uint64, news func(List), failed func(error))
 	// Close releases the connections that are kept between calls.
 	Close()
 }
@@ -67,7 +68,9 @@
 type CallError struct {
 	Cause decide.FailureCause
 	Took  time.Duration // duration of a call that was to be answered at once; 0: it was a watch
-	Err   error
+	// ConfirmedAt is, of an agent's watch, the latest time at which the agent had no newer list; zero: not known.
+	ConfirmedAt time.Time
+	Err         error
 }
 
 // Error returns the error of the call, with the call's duration if discovery was overloaded.
--- a/internal/core/ports_test.go
+++ b/internal/core/ports_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func (f *fakePorts) Follow(ctx context.Context, since *uint64, news func(List)) {
+func (f *fakePorts) Follow(ctx context.Context, since *uint64, news func(List), _ func(error)) {
 	f.Watch(ctx, since, news)
 }
 func (f *fakePorts) Close() { f.calls <- "close membership" }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -124,9 +124,10 @@
 // RefuseNewRequests has all requests from now on refused with 503.
 func (f *Handler) RefuseNewRequests() { f.refusing.Store(true) }
 
-// Ready is the result of the health check: the node is not draining, is not set not ready, and has a server to send to.
+// Ready is the result of the health check: the node is not draining, is not set not ready, and has a server to send to,
+// or has to refuse requests by now.
 func (f *Handler) Ready() bool {
-	return f.drainEnd.Load() == nil && !f.notReady.Load() && f.loop.CanServe()
+	return f.drainEnd.Load() == nil && !f.notReady.Load() && f.loop.Ready()
 }
 
 // SetNotReady sets whether the health check says that the node is not ready. Requests are served in any case.
--- a/internal/member/registry/call.go
+++ b/internal/member/registry/call.go
@@ -53,7 +53,7 @@
 	return list, nil
 }
 
-// request makes one call and decodes the list in the answer. Failures of this machine are retried for callTimeout.
+// request makes one call and decodes the list in the answer. Failures of this machine are retried for a while.
 func (r *Registry) request(ctx context.Context, query string, progress *progress) (core.List, error) {
 	ctx, stop := progress.start(ctx)
 	defer stop()
@@ -61,13 +61,16 @@
 	if err != nil {
 		return core.List{}, err
 	}
-	retryUntil := time.Now().Add(callTimeout - localRetryPause)
+	retryUntil := time.Now().Add(progress.limits.local - localRetryPause)
 	resp, err := r.client.Do(req)
 	for err != nil && isLocalFailure(err) && ctx.Err() == nil && time.Now().Before(retryUntil) {
 		sleep(ctx, localRetryPause)
 		resp, err = r.client.Do(req)
 	}
-	if err != nil {
+	switch {
+	case err != nil && isLocalShortage(err): // also once the call's time is over: nothing was asked
+		return core.List{}, err
+	case err != nil:
 		return core.List{}, progress.explain(err)
 	}
 	defer resp.Body.Close()
@@ -120,6 +123,8 @@
 func (t *callTiming) cause(err error, first bool, took time.Duration) decide.FailureCause {
 	unavailable := errors.Is(err, errUnavailable)
 	switch {
+	case t.agent:
+		return agentCause(err)
 	case !first && unavailable && took >= t.overloadWait: // an accepted call was ended
 		return decide.CauseWentDown
 	case !first:
@@ -136,6 +141,23 @@
 	return decide.CauseUseless
 }
 
+// agentCause classifies the error of a failed call to the node's own agent, which answers at once unless it is silent.
+// Only silence, and an agent that does not run, show that it learns nothing. An answer that has begun, or that can't be
+// used, may have held a change.
+func agentCause(err error) decide.FailureCause {
+	switch {
+	case isLocalShortage(err):
+		return decide.CauseLocal
+	case errors.Is(err, errIncomplete):
+		return decide.CauseUseless
+	case timedOut(err), dialFailed(err):
+		return decide.CauseUnreachable
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
+		return decide.CauseBroken
+	}
+	return decide.CauseUseless
+}
+
 // dialFailed reports whether a call failed because no connection was made.
 func dialFailed(err error) bool {
 	var failure *net.OpError
--- a/internal/member/registry/endings_test.go
+++ b/internal/member/registry/endings_test.go
@@ -207,7 +207,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				received := make(chan core.List, 99)
 				ended := make(chan bool)
-				go func() { registry.Follow(ctx, nil, func(l core.List) { received <- l }); close(ended) }()
+				go func() { registry.Follow(ctx, nil, func(l core.List) { received <- l }, func(error) {}); close(ended) }()
 				began := time.Now()
 				for l := range received {
 					if l.Version == 8 {
--- a/internal/member/registry/progress.go
+++ b/internal/member/registry/progress.go
@@ -35,6 +35,7 @@
 	silence time.Duration // from the beginning to the first byte of the answer
 	pause   time.Duration // between two reads of the answer
 	total   time.Duration // from the beginning to the end of the answer
+	local   time.Duration // for which a call is repeated that this machine could not make
 }
 
 // progress ends one call when nothing has come for too long. A call whose answer comes slowly goes on: discovery can be
@@ -58,7 +59,7 @@
 	defer p.mu.Unlock()
 	p.began, p.end = time.Now(), cancel
 	p.timer = time.AfterFunc(p.limits.silence, p.expire)
-	total := time.AfterFunc(p.limits.total, func() { p.endWith(errTooLong) })
+	total := time.AfterFunc(p.limits.total, p.expireWhole)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: p.bytesCame})
 	return ctx, func() {
 		p.mu.Lock()
@@ -78,6 +79,15 @@
 	p.endWith(errNoAnswer)
 }
 
+// expireWhole ends the call because its time as a whole is over.
+func (p *progress) expireWhole() {
+	if p.hasBegun() {
+		p.endWith(errTooLong)
+		return
+	}
+	p.endWith(errNoAnswer)
+}
+
 // endWith ends the call.
 func (p *progress) endWith(cause *progressError) {
 	p.mu.Lock()
--- a/internal/member/registry/registry.go
+++ b/internal/member/registry/registry.go
@@ -77,6 +77,7 @@
 	silenceTimeout time.Duration
 	readTimeout    time.Duration // how long an answer may pause once it has begun
 	maxCallTime    time.Duration // how long such a call may last in all
+	localRetryTime time.Duration // for which a call is repeated that this machine could not make
 	listLifetime   time.Duration // how long the list may be used after it was confirmed; 0: without limit
 	// renewalInterval is the shortest time between two calls that are begun because answers are late.
 	renewalInterval time.Duration
@@ -126,21 +127,22 @@
 		serviceTiming: callTiming{wait: watchWait,
 			jitter: min(nodes*jitterPerNode, time.Duration(maxJitterShare*float64(watchWait))), slack: watchSlack,
 			firstTimeout: callTimeout, silenceTimeout: silenceTimeout, readTimeout: readTimeout,
-			maxCallTime: maxCallTime, listLifetime: settings.ListLifetime(), overloadWait: overloadWait,
+			maxCallTime: maxCallTime, localRetryTime: callTimeout, listLifetime: settings.ListLifetime(), overloadWait: overloadWait,
 			renewalInterval: max(minRenewalInterval, nodes*renewalIntervalPerNode)},
 		agentTiming: callTiming{wait: graceShare(2, 25*time.Millisecond, maxAgentWait),
-			slack:        graceShare(4, 25*time.Millisecond, maxAgentSlack),
-			firstTimeout: graceShare(2, 50*time.Millisecond, maxAgentSlack),
-			readTimeout:  graceShare(2, 50*time.Millisecond, maxAgentSlack),
-			maxCallTime:  graceShare(2, 50*time.Millisecond, maxAgentSlack),
-			retryPause:   graceShare(8, 10*time.Millisecond, maxAgentSlack/5), agent: true},
+			slack:          graceShare(4, 25*time.Millisecond, maxAgentSlack),
+			firstTimeout:   graceShare(2, 50*time.Millisecond, maxAgentSlack),
+			readTimeout:    graceShare(2, 50*time.Millisecond, maxAgentSlack),
+			maxCallTime:    graceShare(2, 50*time.Millisecond, maxAgentSlack),
+			localRetryTime: graceShare(4, 25*time.Millisecond, maxAgentSlack/2),
+			retryPause:     graceShare(8, 10*time.Millisecond, maxAgentSlack/5), agent: true},
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxConnsPerHost: maxOpenCalls + 1, MaxIdleConnsPerHost: 2}}}
 }
 
 // Fetch requests the whole list once.
 func (r *Registry) Fetch(ctx context.Context) (core.List, error) {
-	limits := progressLimits{silence: silenceTimeout, pause: readTimeout, total: maxCallTime}
+	limits := progressLimits{silence: silenceTimeout, pause: readTimeout, total: maxCallTime, local: callTimeout}
 	return r.fetch(ctx, callWholeList, &progress{limits: limits})
 }
 
@@ -179,15 +181,22 @@
 }
 
 // Follow keeps a watch of the node's own agent until ctx ends: a watch that ends is started again after a short pause,
-// from the latest version.
-func (r *Registry) Follow(ctx context.Context, since *uint64, onList func(core.List)) {
-	for ctx.Err() == nil {
-		err := newWatcher(r, r.agentTiming, since, func(list core.List) { since = &list.Version; onList(list) }).run(ctx)
-		r.log.Debug("watch ended", "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration(float64(r.agentTiming.retryPause) * (0.5 + 0.5*rand.Float64()))):
+// from the latest version. It calls onFailed with the core.CallError of each watch that ends.
+func (r *Registry) Follow(ctx context.Context, since *uint64, onList func(core.List), onFailed func(error)) {
+	var confirmedAt time.Time
+	for {
+		w := newWatcher(r, r.agentTiming, since, func(list core.List) { since = &list.Version; onList(list) })
+		w.asOf = confirmedAt
+		err := w.run(ctx)
+		confirmedAt = w.asOf
+		if ctx.Err() != nil {
+			return
 		}
+		if call := (*core.CallError)(nil); errors.As(err, &call) {
+			call.ConfirmedAt = confirmedAt
+		}
+		onFailed(err)
+		sleep(ctx, time.Duration(float64(r.agentTiming.retryPause)*(0.5+0.5*rand.Float64())))
 	}
 }
 
--- a/internal/member/registry/watch.go
+++ b/internal/member/registry/watch.go
@@ -41,6 +41,7 @@
 	latency    time.Duration // by which discovery's latest answer was late; 0: it came at once, or in turn
 	renewed    bool          // restarted because of a bad answer, and only the first answer has been good since
 	stalled    bool          // the list counts as one that no watch keeps up to date
+	unfinished bool          // since the latest list the answer of a call has begun and not come whole
 	renewedAt  time.Time     // when the latest renewal began
 	measuredAt time.Time     // when an answer last told how late discovery's answers are
 }
@@ -109,6 +110,7 @@
 
 // giveUp ends a call without regard to its answer.
 func (w *watcher) giveUp(call *openCall) {
+	w.unfinished = w.unfinished || call.progress.hasBegun()
 	call.cancel()
 	w.remove(call)
 }
@@ -162,7 +164,7 @@
 	ctx, call.cancel = context.WithCancel(ctx)
 	call.began = time.Now()
 	call.progress = &progress{onFirstByte: w.noteBegun, limits: progressLimits{silence: call.wait + w.silenceLimit(),
-		pause: w.timing.readTimeout, total: call.wait + w.timing.maxCallTime}}
+		pause: w.timing.readTimeout, total: call.wait + w.timing.maxCallTime, local: w.timing.localRetryTime}}
 	w.calls = append(w.calls, call)
 	timing := w.timing
 	w.running.Go(func() {
@@ -232,7 +234,7 @@
 	list, unchanged := call.list, call.poll && call.list.Version == w.version
 	list.Source, list.AsOf, list.StaleSince = w.timing.source(!call.poll), w.asOf, call.late
 	w.renewed = w.renewed && !call.poll
-	w.answered, w.answeredAt, w.broughtBy, w.stalled = true, now, call.began, false
+	w.answered, w.answeredAt, w.broughtBy, w.stalled, w.unfinished = true, now, call.began, false, false
 	w.version, w.since = list.Version, new(list.Version)
 	w.onList(list)
 	if unchanged && call.took < agentPause {
@@ -243,6 +245,7 @@
 // handleFailed handles a call that has failed. It returns an error if that ends the watch.
 func (w *watcher) handleFailed(ctx context.Context, call *openCall) error {
 	log, poll := w.registry.log, w.openPoll()
+	w.unfinished = w.unfinished || call.progress.hasBegun()
 	switch {
 	case ctx.Err() != nil:
 	case call.poll && errors.Is(call.err, errOlderList) && !w.renewed:
@@ -267,5 +270,8 @@
 		w.registry.unresponsive.Store(true)
 		call.took = w.unansweredFor(call.took)
 	}
+	if w.timing.agent && w.unfinished && !errors.Is(call.err, errIncomplete) {
+		return w.timing.callError(fmt.Errorf("%w: %w", errIncomplete, call.err), !call.poll, call.took)
+	}
 	return w.timing.callError(call.err, !call.poll, call.took)
 }
