A successor whose agent is silent leaves the node to its predecessor for 30 s

Need: since a successor waits for its own agent's answer, an outage of over 10 s met the limit after which a predecessor gives a successor up. The successor then takes that for the predecessor's end and accepts clients beside it, with nothing that it may send by.

Change: the limit is 30 s, the longest time in which a process has to be ready (internal/handover). Not mended: a silence of over 30 s within a replacement.

--- a/internal/app/silentagent_test.go
+++ b/internal/app/silentagent_test.go
@@ -7,15 +7,19 @@
 // pushed list had no lifetime, and a failed call to the agent was a debug line that the decision module never saw.
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/handover"
 	"starlingvalve/internal/standin"
 	"starlingvalve/internal/standin/discovery"
 	"starlingvalve/internal/testkit"
@@ -233,3 +237,39 @@
 		run.node.stop()
 	}
 }
+
+// Guards against a successor that takes over while its agent is silent, and then refuses all requests, although its
+// predecessor serves: that one has had the agent's answers.
+func TestPredecessorServesWhileAgentIsSilent(t *testing.T) {
+	t.Parallel()
+	run := newAgentRun(t)
+	clients, err := handover.ListenTCP(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run.config.Name, run.config.Handover = "n0", filepath.Join(t.TempDir(), "s")
+	run.config.Listen = clients.Addr().(*net.TCPAddr).AddrPort()
+	run.node = startOn(t, run.config, clients, testkit.DiscardLog)
+	run.node.waitReady(t, http.StatusOK)
+	run.service.SetFault(discovery.Fault{Down: true})
+
+	opened, err := openSockets(run.config, testkit.DiscardLog)
+	if err != nil || opened.predecessor == nil {
+		t.Fatal(err, opened)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	successor := *run.config
+	go func() { ended <- serve(ctx, &successor, opened, nil, testkit.DiscardLog) }()
+	defer func() { stop(); <-ended }()
+	if counts := run.requestFor(t, longOutage); counts.refused > 0 {
+		t.Errorf("%d of %d refused, although the predecessor can serve", counts.refused, counts.refused+counts.served)
+	}
+	run.service.SetFault(discovery.Fault{})
+	run.awaitServed(t)
+	run.node.stop()
+	<-run.node.ended
+	if counts := run.requestFor(t, time.Second); counts.refused > 0 {
+		t.Errorf("%d refused by the successor after the agent's return", counts.refused)
+	}
+}
--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -20,7 +20,7 @@
 
 const (
 	helloTimeout   = time.Second           // for a successor to send its first message and receive the sockets
-	startTimeout   = 10 * time.Second      // for a successor to serve once it has the sockets
+	startTimeout   = 30 * time.Second      // for a successor to serve once it has the sockets; its agent may be silent
 	reportInterval = 50 * time.Millisecond // how often a successor receives the number of this process's client connections
 )
 
