A supervisor does not take a node for crashed whose agent is silent

Need: a node that starts in an outage of discovery can't serve until its agent answers. A supervisor counted a process that can't serve within ready_ms (15 s) as crashed and started it again, which helps nobody and counts against its version.

Change: the node's status says "ready" beside "able": it is to get requests, though it may have to refuse them. A process that runs alone is judged by either, one that replaces another by "able" only, so that the predecessor serves on. An older node's status has no "ready" and is judged as before.

--- a/cmd/rig/agreement.go
+++ b/cmd/rig/agreement.go
@@ -194,6 +194,9 @@
 // CanServe reports that the node can serve.
 func (idleLoop) CanServe() bool { return true }
 
+// Ready reports that the node is to get requests.
+func (idleLoop) Ready() bool { return true }
+
 // ServerList returns an empty list.
 func (idleLoop) ServerList() core.List { return core.List{} }
 
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -131,8 +131,9 @@
 	Reason        string            `json:"why,omitempty"`     // error of a voter that has stopped
 	Applied       uint64            `json:"applied,omitempty"` // index of the last log entry that was applied
 	Pid           int               `json:"pid"`
-	CanServe      bool              `json:"able"` // the node can serve requests, apart from being drained
-	OpenRequests  int               `json:"open"` // number of open requests
+	CanServe      bool              `json:"able"`  // the node can serve requests, apart from being drained
+	Ready         bool              `json:"ready"` // it is to get requests, which it may have to refuse while its agent is silent
+	OpenRequests  int               `json:"open"`  // number of open requests
 	// Succeeded is set once a successor process serves, so that this process may be ended.
 	Succeeded bool `json:"succeeded"`
 	// ConfigurationRevision is the revision of the configuration that is in force here; 0: none.
@@ -155,7 +156,7 @@
 	if calls != nil {
 		status.Traffic = calls.Traffic()
 	}
-	status.Pid, status.CanServe = os.Getpid(), n.loop.CanServe()
+	status.Pid, status.CanServe, status.Ready = os.Getpid(), n.loop.CanServe(), n.loop.Ready()
 	status.OpenRequests, _ = n.loop.OpenRequests()
 	if voteErr != nil {
 		status.Voter, status.Reason = "stopped", voteErr.Error()
--- a/internal/control/leak_test.go
+++ b/internal/control/leak_test.go
@@ -31,6 +31,7 @@
 func (idleNode) ClassCounts() map[string]health.ClassCounts { return nil }
 func (idleNode) ResidentBytes() uint64                      { return 0 }
 func (idleNode) CanServe() bool                             { return true }
+func (idleNode) Ready() bool                                { return true }
 func (idleNode) ServerList() core.List                      { return core.List{Full: true} }
 
 // Guards against goroutines that are left after the end of nodes: of three voters, one of whose ports is in use at
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -28,6 +28,7 @@
 	OpenRequests() (requests int, ok bool)
 	EjectedServers() []string
 	CanServe() bool
+	Ready() bool
 	ServerList() core.List
 }
 
--- a/internal/rig/capacity/hollow/hollow.go
+++ b/internal/rig/capacity/hollow/hollow.go
@@ -271,6 +271,9 @@
 // CanServe reports that the node can serve.
 func (idlePlane) CanServe() bool { return true }
 
+// Ready reports that the node is to get requests.
+func (idlePlane) Ready() bool { return true }
+
 // ServerList is an empty list.
 func (idlePlane) ServerList() core.List { return core.List{} }
 
--- a/internal/rig/capacity/hollow/hollow_test.go
+++ b/internal/rig/capacity/hollow/hollow_test.go
@@ -41,6 +41,7 @@
 func (listingPlane) ClassCounts() map[string]health.ClassCounts { return nil }
 func (listingPlane) ResidentBytes() uint64                      { return 0 }
 func (listingPlane) CanServe() bool                             { return true }
+func (listingPlane) Ready() bool                                { return true }
 func (listingPlane) ServerList() core.List {
 	return core.List{Full: true, Entries: []core.Entry{{Name: backend,
 		Server: decide.Server{ID: registry.ServerID(backend), Zone: "a", State: decide.Ready, Size: 1}}}}
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -292,7 +292,7 @@
 					return other
 				}
 			}
-			if s.isReady(ctx, replacement) {
+			if s.canTakeOver(ctx, replacement) {
 				s.endProcess(old) // normally it has ended already
 				s.setVersion(want)
 				s.markReady()
@@ -399,11 +399,24 @@
 	return s.control.Status(ctx)
 }
 
-// isReady reports whether the process is the node's, can serve requests, and has a session with the fleet. No session
-// is needed while the voters can't be reached.
+// isReady reports whether the process is to get requests. It may have to refuse them while its agent is silent: to start
+// it again would not help.
 func (s *Supervisor) isReady(ctx context.Context, p *process) bool {
+	status, ok := s.statusInService(ctx, p)
+	return ok && (status.CanServe || status.Ready)
+}
+
+// canTakeOver reports whether the process can serve requests, so that the one before may end.
+func (s *Supervisor) canTakeOver(ctx context.Context, p *process) bool {
+	status, ok := s.statusInService(ctx, p)
+	return ok && status.CanServe
+}
+
+// statusInService returns the status of a process, and whether that is the node's and has a session with the fleet. No
+// session is needed while the voters can't be reached.
+func (s *Supervisor) statusInService(ctx context.Context, p *process) (status control.NodeStatus, ok bool) {
 	status, err := s.nodeStatus(ctx)
-	return err == nil && status.Pid == p.Pid && status.CanServe && (status.Session > 0 || s.unreachable())
+	return status, err == nil && status.Pid == p.Pid && (status.Session > 0 || s.unreachable())
 }
 
 // start starts a process of the node, in its own process group, so that it does not end with the supervisor.
