The soak knows when a pushed list counts: from a process's first moment

The stand-in moved what an agent had learned before an outage to the outage's end whenever a process started within it (Caller.notifyByAgent), and noted nothing at all while the outage lasted.

--- a/cmd/rig/soak_test.go
+++ b/cmd/rig/soak_test.go
@@ -42,3 +42,17 @@
 		t.Errorf("%v\n%s", err, text)
 	}
 }
+
+// Guards against requests to draining servers by processes that start, or are given another agent, while their agents are
+// silent. Servers begin to drain while processes are down; then discovery is down for 12 s. A process that started sent by
+// the list of its configuration until its agent answered.
+func TestDrainsWhileAgentsAreSilent(t *testing.T) {
+	text, err := runSoak(t, "-seed", "3", "-schedule", filepath.Join("cmd", "rig", "testdata", "silent-agents.schedule"))
+	if strings.Contains(string(text), "the run is void") { // the machine was too late to judge anybody
+		t.Logf("%s", text)
+		return
+	}
+	if err != nil || !strings.Contains(string(text), "kept drain") {
+		t.Errorf("%v\n%s", err, text)
+	}
+}
--- a/internal/standin/discovery/caller.go
+++ b/internal/standin/discovery/caller.go
@@ -234,21 +234,21 @@
 	return l
 }
 
-// notifyByAgent adds what the agent has by now. The lock is held.
+// notifyByAgent adds what the agent has by now, which counts from the first moment of a process on, also while the agent
+// is silent. The lock is held.
 func (c *Caller) notifyByAgent() {
 	s := c.service
-	if s.fault.Down {
-		return
+	revision := c.notifiedRevision
+	for _, change := range s.changes[revision:] {
+		if _, learned := s.learnedAt(change); !learned {
+			break
+		}
+		revision = change.Revision
 	}
-	c.notify(s.revision(), ByAgent, func(change Change) time.Time {
-		at := change.At
+	c.notify(revision, ByAgent, func(change Change) time.Time {
+		at, _ := s.learnedAt(change)
 		if c.countsFrom.After(at) {
-			at = c.countsFrom
-		}
-		for _, o := range s.outages {
-			if !at.Before(o.from) && at.Before(o.to) {
-				at = o.to
-			}
+			return c.countsFrom
 		}
 		return at
 	})
--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -121,6 +121,39 @@
 			t.Errorf("%+v %v", n, ok)
 		}
 	})
+	t.Run("agent, process starts in an outage", func(t *testing.T) {
+		t.Parallel()
+		s := service(t)
+		c := caller(t, s.Agent)
+		s.Set(entry("draining"))
+		s.SetFault(Fault{Down: true})
+		started := time.Now()
+		c.ProcessStarted(1)
+		ended := time.Now()
+		s.Set(entry("gone"))
+		s.SetFault(Fault{})
+		var n Notification // the latest: a process's start voids the earlier lines
+		for _, line := range c.Notifications() {
+			if line.State == "draining" {
+				n = line
+			}
+		}
+		if n.By != ByAgent || n.At.Before(started) || n.At.After(ended) {
+			t.Errorf("%+v, want the time of the start, %v to %v", n, started, ended)
+		}
+	})
+	t.Run("agent, another address in an outage", func(t *testing.T) {
+		t.Parallel()
+		const delay = 50 * time.Millisecond
+		s := service(t)
+		c, next := caller(t, s.Agent), caller(t, s.Agent)
+		s.Set(entry("draining"))
+		s.SetFault(Fault{Down: true})
+		next.ContinueFrom(c, delay)
+		if n, ok := draining(c); !ok || n.By != ByAgent {
+			t.Errorf("%+v %v, want what the first agent had", n, ok)
+		}
+	})
 }
 
 // Guards against a fault that callers don't notice: rigs would then test nothing.
--- a/internal/standin/discovery/service.go
+++ b/internal/standin/discovery/service.go
@@ -169,6 +169,22 @@
 	return list
 }
 
+// learnedAt returns when agents have learned of a change: at once, or at the end of the outage in which it was made; learned
+// is false while that lasts. The lock is held.
+func (s *Service) learnedAt(change Change) (at time.Time, learned bool) {
+	at = change.At
+	for _, o := range s.outages {
+		if at.Before(o.from) || !o.to.IsZero() && !at.Before(o.to) {
+			continue
+		}
+		if o.to.IsZero() {
+			return at, false
+		}
+		at = o.to
+	}
+	return at, true
+}
+
 // Listen opens the service to one process, and to the processes that replace it under the same name.
 func (s *Service) Listen(process string) (*Caller, error) { return s.listen(process, false) }
 
