Process tests have an agent that answers, as a silent one vouches for no list

Need: the processes of replace_test.go and endings_test.go got pushed lists from a listener that never answered, and served by the list of their configuration.

Change: testkit.AgentWithoutNews, which the app tests had of their own, answers their calls that there is nothing newer. What the tests check is as before.

--- a/cmd/starlingvalve/replace_test.go
+++ b/cmd/starlingvalve/replace_test.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"starlingvalve/internal/standin"
+	"starlingvalve/internal/testkit"
 )
 
 // reservedAddr returns an address of 127.0.0.1 with a port that the kernel chose. The port stays bound with
@@ -62,16 +63,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Close)
-	discovery, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { discovery.Close() })
 	node := &replaceableNode{t: t, listen: reservedAddr(t), server: server, dir: t.TempDir()}
 	node.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":384},
 		"known":{"version":1,"full":true,"servers":[{"id":"s-00000001","addr":%q,"zone":"z","state":"ready","weight":1}]},"settings":{
 		"caps":{"connect_timeout_ns":2000000000,"cancel":true,"max_attempts":2},"classes":[{"name":"c","effect":"fragile","deadline_ns":3000000000,"aim_ns":2500000000}]}}`,
-		node.listen, discovery.Addr(), server.Addr)
+		node.listen, testkit.AgentWithoutNews(t), server.Addr)
 	return node
 }
 
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -54,7 +54,7 @@
 		c.Limits = Limits{Cores: 1, MemoryMB: 192, Sockets: 256}
 	}
 	if !c.Discovery.IsValid() {
-		c.Discovery = agentWithoutNews(t)
+		c.Discovery = netip.MustParseAddrPort(testkit.AgentWithoutNews(t))
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testNode{addr: tcp.Addr().String(), hup: make(chan os.Signal), stop: stop, ended: make(chan error, 1)}
@@ -63,21 +63,6 @@
 	return n // connections wait in the listener's queue until it serves
 }
 
-// agentWithoutNews starts an agent, or discovery, that answers each call that there is nothing newer than the version
-// which the caller has.
-func agentWithoutNews(t *testing.T) netip.AddrPort {
-	t.Helper()
-	return netip.MustParseAddrPort(testkit.Server(t, testkit.AnswerRequests(func(r *http.Request, _ []byte) string {
-		query := r.URL.Query()
-		wait, _ := time.ParseDuration(query.Get("timeout_ms") + "ms")
-		time.Sleep(min(wait, maxAgentPoll))
-		return testkit.OKResponse(fmt.Sprintf(`{"version":%s,"full":false,"servers":[]}`, query.Get("since")))
-	})))
-}
-
-// maxAgentPoll bounds for how long an agentWithoutNews lets a poll wait, so that it ends soon after its test.
-const maxAgentPoll = 250 * time.Millisecond
-
 var lastRequestID atomic.Int64
 
 // classRequest is a request of a class with a new id, left seconds of patience and a body.
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -126,3 +126,18 @@
 	}
 	return l
 }
+
+// maxAgentPoll bounds for how long an AgentWithoutNews lets a poll wait, so that it ends soon after its test.
+const maxAgentPoll = 250 * time.Millisecond
+
+// AgentWithoutNews starts an agent, or discovery, and returns its address. It answers each call that there is nothing newer
+// than the version which the caller has.
+func AgentWithoutNews(t *testing.T) string {
+	t.Helper()
+	return Server(t, AnswerRequests(func(r *http.Request, _ []byte) string {
+		query := r.URL.Query()
+		wait, _ := time.ParseDuration(query.Get("timeout_ms") + "ms")
+		time.Sleep(min(wait, maxAgentPoll))
+		return OKResponse(fmt.Sprintf(`{"version":%s,"full":false,"servers":[]}`, query.Get("since")))
+	}))
+}
